--- /dev/null
+++ b/packages/cli/cactushead_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of the cactushead dispatcher."""
--- /dev/null
+++ b/packages/core/cactushead_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the cactushead dispatcher: reducers, events and effects."""
--- /dev/null
+++ b/packages/core/cactushead_core/agents/__init__.py
@@ -0,0 +1,19 @@
+"""Agents: announced upstreams, assignments, outcomes and leases."""
+
+from .model import (
+    Assignment,
+    OutcomeStatus,
+    TaskOutcome,
+    TaskReport,
+    TaskStage,
+    UpstreamSpec,
+)
+
+__all__ = [
+    'Assignment',
+    'OutcomeStatus',
+    'TaskOutcome',
+    'TaskReport',
+    'TaskStage',
+    'UpstreamSpec',
+]
--- /dev/null
+++ b/packages/core/cactushead_core/clock/__init__.py
@@ -0,0 +1,1 @@
+"""Time stamps of time line events."""
--- /dev/null
+++ b/packages/core/cactushead_core/documents/messages.py
@@ -0,0 +1,132 @@
+"""Messages about service documents."""
+
+from dataclasses import dataclass
+
+from ..jobs.model import Attempt, Refusal
+from ..messages.base import Message, wire_type
+from .model import ServiceDocument
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentVersion:
+    """The version of a service's document that a process holds.
+
+    Attributes:
+        service: Name of the service.
+        version: The version.
+    """
+
+    service: str
+    version: int
+
+
+@wire_type(40)
+@dataclass(frozen=True, slots=True)
+class SubmitDocument(Message):
+    """An entry forwards an operator's document to the leader.
+
+    Attributes:
+        attempt: Identity of the exchange.
+        term: The leader's term as the entry knows it.
+        document: The document.
+    """
+
+    attempt: Attempt
+    term: int
+    document: ServiceDocument
+
+
+@wire_type(41)
+@dataclass(frozen=True, slots=True)
+class DocumentAccepted(Message):
+    """The document is accepted by a synced majority.
+
+    Attributes:
+        attempt: Identity of the exchange; its sequence is 0 in a notice.
+        service: Name of the service.
+        version: The accepted version.
+        in_force: Names of the processes that hold this version or a newer.
+        pending: Names of the processes that have not confirmed it yet.
+    """
+
+    attempt: Attempt
+    service: str
+    version: int
+    in_force: tuple[str, ...]
+    pending: tuple[str, ...]
+
+
+@wire_type(42)
+@dataclass(frozen=True, slots=True)
+class DocumentRefused(Message):
+    """The document is not accepted.
+
+    Attributes:
+        attempt: Identity of the exchange.
+        accepted_version: The version in force, 0 for none.
+        refusal: Why.
+    """
+
+    attempt: Attempt
+    accepted_version: int
+    refusal: Refusal
+
+
+@wire_type(43)
+@dataclass(frozen=True, slots=True)
+class DocumentNotice(Message):
+    """The leader tells a process the documents in force.
+
+    Attributes:
+        term: The leader's term.
+        documents: Documents that are new to the receiver.
+    """
+
+    term: int
+    documents: tuple[ServiceDocument, ...]
+
+
+@wire_type(44)
+@dataclass(frozen=True, slots=True)
+class DocumentsHeld(Message):
+    """A process confirms the document versions that it holds.
+
+    Attributes:
+        process: Name of the process.
+        incarnation: Its incarnation.
+        versions: The versions.
+    """
+
+    process: str
+    incarnation: str
+    versions: tuple[DocumentVersion, ...]
+
+
+@wire_type(45)
+@dataclass(frozen=True, slots=True)
+class QueryDocuments(Message):
+    """An entry asks the leader for documents.
+
+    Attributes:
+        attempt: Identity of the exchange.
+        term: The leader's term as the entry knows it.
+        service: Name of one service, empty for all.
+    """
+
+    attempt: Attempt
+    term: int
+    service: str
+
+
+@wire_type(46)
+@dataclass(frozen=True, slots=True)
+class DocumentsListed(Message):
+    """The leader's answer to `QueryDocuments`.
+
+    Attributes:
+        attempt: Identity of the exchange.
+        documents: The documents in force.
+    """
+
+    attempt: Attempt
+    documents: tuple[ServiceDocument, ...]
--- /dev/null
+++ b/packages/core/cactushead_core/documents/model.py
@@ -0,0 +1,131 @@
+"""Value objects of service documents."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class ServiceState(StrEnum):
+    """Whether a service takes work."""
+
+    SERVING = 'serving'
+    DRAINING = 'draining'
+    STOPPED = 'stopped'
+
+
+class StopRemainder(StrEnum):
+    """What happens to work that is left when the drain time is over."""
+
+    CANCEL = 'cancel'
+    FINISH = 'finish'
+
+
+@dataclass(frozen=True, slots=True)
+class Label:
+    """A name and value that an upstream announces."""
+
+    name: str
+    value: str
+
+
+@dataclass(frozen=True, slots=True)
+class Selector:
+    """Which announced upstreams serve a service.
+
+    Explanation:
+        An upstream matches when its name is listed (or no names are
+        listed) and it carries every label.
+
+    Attributes:
+        names: Upstream names, empty for any.
+        labels: Labels that must all be present.
+    """
+
+    names: tuple[str, ...] = ()
+    labels: tuple[Label, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """How much work a service may take.
+
+    Attributes:
+        concurrent_tasks: Tasks running at once.
+        starts_per_s: Task starts a second, 0 for no limit.
+        queue_tasks: Tasks that may wait.
+        caller_share: Largest share of the queue for one caller, 0 to 1.
+        job_tasks: Largest number of tasks in a job.
+    """
+
+    concurrent_tasks: int = 10_000
+    starts_per_s: float = 0.0
+    queue_tasks: int = 10_000
+    caller_share: float = 1.0
+    job_tasks: int = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class RequestKind:
+    """A kind of request of a service.
+
+    Attributes:
+        name: Name of the kind.
+        repeatable: Whether a task of this kind is idempotent.
+        timeout_s: Longest run of one task.
+        max_starts: Starts allowed after known failures; 1 for no restart.
+    """
+
+    name: str
+    repeatable: bool = False
+    timeout_s: float = 30.0
+    max_starts: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class StopPolicy:
+    """How a service is stopped.
+
+    Attributes:
+        drain_s: How long accepted work may go on.
+        remainder: What happens to the rest.
+    """
+
+    drain_s: float = 30.0
+    remainder: StopRemainder = StopRemainder.FINISH
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceDocument:
+    """One version of a service's document.
+
+    Attributes:
+        service: Name of the service.
+        version: Version; a newer one is higher.
+        team: The team that owns the document.
+        upstreams: Selector of upstreams.
+        limits: Limits on work.
+        requests: Request kinds.
+        stop: How the service is stopped.
+        state: Whether it takes work.
+        digest: Digest of the submitted content.
+    """
+
+    service: str
+    version: int
+    team: str
+    upstreams: Selector
+    limits: Limits
+    requests: tuple[RequestKind, ...]
+    stop: StopPolicy = StopPolicy()
+    state: ServiceState = ServiceState.SERVING
+    digest: bytes = b''
+
+    def request_kind(self, name: str) -> RequestKind | None:
+        """Returns the request kind of a name, or None.
+
+        Args:
+            name: Name of the kind.
+        """
+        for kind in self.requests:
+            if kind.name == name:
+                return kind
+        return None
--- /dev/null
+++ b/packages/core/cactushead_core/jobs/messages.py
@@ -0,0 +1,135 @@
+"""Messages between entries and the leader about jobs."""
+
+from dataclasses import dataclass
+
+from ..messages.base import Message, wire_type
+from .model import Attempt, JobAnswer, JobId, JobRequest, JobStatus, Refusal
+
+
+@wire_type(20)
+@dataclass(frozen=True, slots=True)
+class SubmitJob(Message):
+    """An entry forwards a submission to the leader.
+
+    Attributes:
+        attempt: Identity of the exchange.
+        term: The leader's term as the entry knows it; a leader of another
+            term refuses the message, so that a late copy starts nothing.
+        request: The submission.
+        age_s: Time since the caller's request reached the entry.
+        wait: Whether the caller waits for the answer.
+    """
+
+    attempt: Attempt
+    term: int
+    request: JobRequest
+    age_s: float
+    wait: bool
+
+
+@wire_type(21)
+@dataclass(frozen=True, slots=True)
+class JobAccepted(Message):
+    """The job is admitted for good; sent to callers that don't wait.
+
+    Attributes:
+        attempt: Identity of the exchange.
+        status: The job's present state.
+    """
+
+    attempt: Attempt
+    status: JobStatus
+
+
+@wire_type(22)
+@dataclass(frozen=True, slots=True)
+class JobAnswered(Message):
+    """The whole answer of a job.
+
+    Attributes:
+        attempt: Identity of the exchange.
+        answer: The answer.
+    """
+
+    attempt: Attempt
+    answer: JobAnswer
+
+
+@wire_type(23)
+@dataclass(frozen=True, slots=True)
+class JobRefused(Message):
+    """The leader refuses a request about a job.
+
+    Attributes:
+        attempt: Identity of the exchange.
+        refusal: Why.
+    """
+
+    attempt: Attempt
+    refusal: Refusal
+
+
+@wire_type(24)
+@dataclass(frozen=True, slots=True)
+class QueryJob(Message):
+    """An entry asks for the state of a job.
+
+    Attributes:
+        attempt: Identity of the exchange.
+        term: The leader's term as the entry knows it.
+        job: The job.
+    """
+
+    attempt: Attempt
+    term: int
+    job: JobId
+
+
+@wire_type(25)
+@dataclass(frozen=True, slots=True)
+class CancelJob(Message):
+    """An entry forwards a cancellation.
+
+    Attributes:
+        attempt: Identity of the exchange.
+        term: The leader's term as the entry knows it.
+        job: The job.
+    """
+
+    attempt: Attempt
+    term: int
+    job: JobId
+
+
+@wire_type(26)
+@dataclass(frozen=True, slots=True)
+class JobReported(Message):
+    """The answer to `QueryJob`, and to `CancelJob` of a job in progress.
+
+    Attributes:
+        attempt: Identity of the exchange.
+        status: The job's state.
+    """
+
+    attempt: Attempt
+    status: JobStatus
+
+
+@wire_type(27)
+@dataclass(frozen=True, slots=True)
+class TermMismatch(Message):
+    """The receiver doesn't lead in the term that a request names.
+
+    Explanation:
+        The request of the attempt was not and will not be handled by the
+        sender in that term.
+
+    Attributes:
+        attempt: Identity of the exchange.
+        term: The sender's term.
+        leader: Name of the leader that the sender knows, empty for none.
+    """
+
+    attempt: Attempt
+    term: int
+    leader: str
--- /dev/null
+++ b/packages/core/cactushead_core/replication/__init__.py
@@ -0,0 +1,28 @@
+"""The replicated log: election, replication, membership and snapshots."""
+
+from .notices import (
+    EntriesCommitted,
+    LeaderKnown,
+    LeaderLost,
+    LeaderReady,
+    MemoryCommitted,
+    Notice,
+    SnapshotInstalled,
+    SnapshotWanted,
+)
+from .replica import Replica, ReplicaOutput, ReplicaSettings, StoredLog
+
+__all__ = [
+    'EntriesCommitted',
+    'LeaderKnown',
+    'LeaderLost',
+    'LeaderReady',
+    'MemoryCommitted',
+    'Notice',
+    'Replica',
+    'ReplicaOutput',
+    'ReplicaSettings',
+    'SnapshotInstalled',
+    'SnapshotWanted',
+    'StoredLog',
+]
--- /dev/null
+++ b/packages/core/cactushead_core/scheduling/__init__.py
@@ -0,0 +1,17 @@
+"""Decisions on which task starts where and when."""
+
+from .model import PlacedTask, QueuedTask, UpstreamState
+from .order import ArrivalOrder, TaskOrder
+from .placement import FirstFitPlacement, PlacementPolicy
+from .scheduler import Scheduler
+
+__all__ = [
+    'ArrivalOrder',
+    'FirstFitPlacement',
+    'PlacedTask',
+    'PlacementPolicy',
+    'QueuedTask',
+    'Scheduler',
+    'TaskOrder',
+    'UpstreamState',
+]
--- /dev/null
+++ b/packages/node/cactushead_node/__init__.py
@@ -0,0 +1,1 @@
+"""Processes of the cactushead dispatcher: entry, agent and local."""
--- /dev/null
+++ b/packages/node/cactushead_node/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface for callers and operators."""
--- /dev/null
+++ b/packages/node/cactushead_node/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and the time line."""
--- /dev/null
+++ b/packages/node/cactushead_node/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between the processes of the system."""
--- /dev/null
+++ b/packages/node/cactushead_node/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of processes."""
--- /dev/null
+++ b/packages/node/cactushead_node/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Durable files of a voter."""
--- /dev/null
+++ b/packages/node/cactushead_node/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP client for upstreams and the sample upstream."""
