--- a/packages/core/cactushead_core/effects.py
+++ b/packages/core/cactushead_core/effects.py
@@ -198,3 +198,31 @@
 @dataclass(frozen=True, slots=True)
 class Drained(Effect):
     """Nothing is in flight any more; the process may exit."""
+
+
+@dataclass(frozen=True, slots=True)
+class Measure(Effect):
+    """Adds a duration to a histogram.
+
+    Attributes:
+        metric: Name of the histogram, such as `queue_wait_s`.
+        duration_s: The duration.
+    """
+
+    metric: str
+    duration_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Count(Effect):
+    """Adds to a counter.
+
+    Attributes:
+        metric: Name of the counter, such as `refusals`.
+        label: What is counted, such as the cause of a refusal.
+        amount: How many.
+    """
+
+    metric: str
+    label: str = ''
+    amount: int = 1
