Decide jobs, leases and documents in the entry's and agent's reducers

The entry's reducer holds the gateway, the replicated state and, when elected, the leader: admission and first placement in one record, assignments only after the commit level that the request kind asks for, agents' reports per term and epoch, answers and acknowledgements after their records count. Weighed: a replicated placement before each send against a barrier over all agents; the placement names the one agent that a new leader has to hear, so unplaced tasks go on at once.

--- a/packages/core/cactushead_core/agents/messages.py
+++ b/packages/core/cactushead_core/agents/messages.py
@@ -2,9 +2,14 @@
 
 from dataclasses import dataclass
 
-from ..documents.messages import DocumentVersion
 from ..messages.base import Message, wire_type
-from .model import Assignment, TaskOutcome, TaskReport, UpstreamSpec
+from .model import (
+    Assignment,
+    TaskOutcome,
+    TaskRef,
+    TaskReport,
+    UpstreamSpec,
+)
 
 
 @wire_type(1)
@@ -19,8 +24,6 @@
         sent_s: The agent's own monotonic clock.
         upstream: The upstream; None while its health check fails.
         leaving: Whether the agent takes no new work.
-        documents: Document versions that the agent holds, sent when they
-            changed since its last heartbeat.
     """
 
     agent: str
@@ -29,7 +32,6 @@
     sent_s: float
     upstream: UpstreamSpec | None
     leaving: bool
-    documents: tuple[DocumentVersion, ...] = ()
 
 
 @wire_type(2)
@@ -53,14 +55,22 @@
 @wire_type(3)
 @dataclass(frozen=True, slots=True)
 class ReportWanted(Message):
-    """A new leader asks what an agent started.
+    """The leader asks what an agent started.
+
+    Explanation:
+        The agent adopts the term and epoch and refuses assignments of
+        earlier ones, so that a task missing in its report can't start later.
 
     Attributes:
-        term: The leader's term, which the agent adopts.
+        term: The leader's term.
+        epoch: Number of the report within the term, from 1.
+        incarnation: Incarnation of the agent that shall report.
         leader: Name of the leader.
     """
 
     term: int
+    epoch: int
+    incarnation: str
     leader: str
 
 
@@ -73,12 +83,14 @@
         agent: Name of the agent.
         incarnation: Incarnation of the agent process.
         term: The term that the agent has adopted.
+        epoch: The epoch that the agent has adopted.
         tasks: Its records.
     """
 
     agent: str
     incarnation: str
     term: int
+    epoch: int
     tasks: tuple[TaskReport, ...]
 
 
@@ -89,6 +101,7 @@
 
     Attributes:
         term: The leader's term.
+        epoch: Number of the agent's last report within the term.
         incarnation: Incarnation of the agent that shall start them.
         echo_s: `sent_s` of the newest heartbeat that the leader had; the
             agent refuses an assignment that is older than its lease.
@@ -96,6 +109,7 @@
     """
 
     term: int
+    epoch: int
     incarnation: str
     echo_s: float
     tasks: tuple[Assignment, ...]
@@ -138,25 +152,23 @@
 
     Explanation:
         The agent answers each with an outcome: `REFUSED` when it never
-        started and never will, `CANCELLED` once the upstream has stopped it.
-        A task that a new incarnation doesn't know is stopped at the upstream
-        and answered by `CANCELLED`.
+        started and never will, else how the run ended.
 
     Attributes:
         term: The leader's term.
         incarnation: Incarnation of the agent that shall act.
-        task_ids: Ids of the tasks.
+        tasks: The tasks.
     """
 
     term: int
     incarnation: str
-    task_ids: tuple[str, ...]
+    tasks: tuple[TaskRef, ...]
 
 
 @wire_type(9)
 @dataclass(frozen=True, slots=True)
-class NotLeader(Message):
-    """A voter tells that it doesn't lead, and who does if it knows.
+class LeaderHint(Message):
+    """A voter tells which leader it knows.
 
     Attributes:
         term: The voter's term.
@@ -165,3 +177,23 @@
 
     term: int
     leader: str
+
+
+@wire_type(11)
+@dataclass(frozen=True, slots=True)
+class StopStale(Message):
+    """Tasks of an agent's earlier incarnation that its upstream may run.
+
+    Explanation:
+        Their slots count as occupied until the agent answers each with a
+        `CANCELLED` outcome, which it gives once the upstream has stopped it.
+
+    Attributes:
+        term: The leader's term.
+        incarnation: Incarnation of the agent that shall act.
+        tasks: The tasks.
+    """
+
+    term: int
+    incarnation: str
+    tasks: tuple[TaskRef, ...]
--- a/packages/core/cactushead_core/agents/model.py
+++ b/packages/core/cactushead_core/agents/model.py
@@ -62,7 +62,8 @@
     Attributes:
         job: The job of the task.
         index: Index of the task in its job.
-        start: Number of this start, from 1; above 1 after a known failure.
+        start: Number of this placement, from 1; a higher one follows when
+            the earlier provably didn't start, or failed and may restart.
         kind: Request kind.
         document_version: Version that the leader decided under.
         timeout_s: Longest run.
@@ -83,6 +84,26 @@
         return self.job.task_id(self.index)
 
 
+@dataclass(frozen=True, slots=True)
+class TaskRef:
+    """Names one placement of a task.
+
+    Attributes:
+        job: The job of the task.
+        index: Index of the task in its job.
+        start: Number of the placement.
+    """
+
+    job: JobId
+    index: int
+    start: int
+
+    @property
+    def task_id(self) -> str:
+        """Id of the task."""
+        return self.job.task_id(self.index)
+
+
 @dataclass(frozen=True, slots=True)
 class TaskOutcome:
     """How one start of a task ended.
@@ -128,3 +149,8 @@
     start: int
     stage: TaskStage
     outcome: TaskOutcome | None = None
+
+    @property
+    def task_id(self) -> str:
+        """Id of the task."""
+        return self.job.task_id(self.index)
--- /dev/null
+++ b/packages/core/cactushead_core/entry/commits.py
@@ -0,0 +1,69 @@
+"""Decisions that wait until a majority holds their records."""
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+_Decision = TypeVar('_Decision')
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiting(Generic[_Decision]):
+    index: int
+    decision: _Decision
+
+
+class CommitQueue(Generic[_Decision]):
+    """Releases decisions in log order, at one of two commit levels.
+
+    Examples:
+        >>> queue = CommitQueue()
+        >>> queue.wait(4, 'assign', synced=False)
+        >>> queue.wait(5, 'answer', synced=True)
+        >>> queue.advance(memory_index=5, synced_index=3)
+        ['assign']
+        >>> queue.advance(memory_index=5, synced_index=5)
+        ['answer']
+    """
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._memory: deque[_Waiting[_Decision]] = deque()
+        self._synced: deque[_Waiting[_Decision]] = deque()
+
+    def wait(self, index: int, decision: _Decision, *, synced: bool) -> None:
+        """Adds a decision whose record has an index.
+
+        Args:
+            index: Index of the record; never below an earlier one.
+            decision: What is released.
+            synced: Whether a majority must have synced the record.
+        """
+        queue = self._synced if synced else self._memory
+        queue.append(_Waiting(index, decision))
+
+    def advance(
+        self,
+        memory_index: int,
+        synced_index: int,
+    ) -> list[_Decision]:
+        """Returns the decisions that are released by these indices.
+
+        Args:
+            memory_index: Last index that a majority holds in memory.
+            synced_index: Last index that a majority has synced.
+        """
+        held_index = max(memory_index, synced_index)
+        released = _release(self._memory, held_index)
+        released.extend(_release(self._synced, synced_index))
+        return released
+
+
+def _release(
+    queue: deque[_Waiting[_Decision]],
+    index: int,
+) -> list[_Decision]:
+    released: list[_Decision] = []
+    while queue and queue[0].index <= index:
+        released.append(queue.popleft().decision)
+    return released
--- /dev/null
+++ b/packages/core/cactushead_core/entry/context.py
@@ -0,0 +1,108 @@
+"""What the parts of a leader share."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ..config import EntryConfig
+from ..effects import Effect, Send
+from ..messages.base import Message
+from ..messages.codec import encode_message
+from ..replication import Replica
+from ..scheduling import Scheduler
+from .commits import CommitQueue
+from .state import ReplicatedState
+
+OnCommit = Callable[[float], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Proposal:
+    """A record on its way into the log.
+
+    Attributes:
+        record: The record.
+        on_commit: Called with the clock once the record counts, or None.
+        synced: Whether it counts only when a majority has synced it.
+        on_synced: Called with the clock once a majority has synced it.
+    """
+
+    record: Message
+    on_commit: OnCommit | None = None
+    synced: bool = True
+    on_synced: OnCommit | None = None
+
+
+@dataclass(slots=True)
+class LeaderContext:
+    """One term of a leader: its log, its scheduler and its outbox.
+
+    Attributes:
+        config: Configuration of the entry.
+        term: The leader's term.
+        replica: The replicated log.
+        state: The replicated state.
+        scheduler: The scheduler of this term.
+        proposals: Records that leave at the end of the turn.
+        commits: Decisions that wait for a commit.
+        effects: Effects for the shell.
+        memory_index: Last index that a majority holds in memory.
+        synced_index: Last index that a majority has synced.
+    """
+
+    config: EntryConfig
+    term: int
+    replica: Replica
+    state: ReplicatedState
+    scheduler: Scheduler
+    proposals: list[Proposal] = field(default_factory=list)
+    commits: CommitQueue[OnCommit] = field(default_factory=CommitQueue)
+    effects: list[Effect] = field(default_factory=list)
+    memory_index: int = 0
+    synced_index: int = 0
+
+    def send(self, peer: str, message: Message) -> None:
+        """Adds a message to the outbox.
+
+        Args:
+            peer: Name of the receiver.
+            message: The message.
+        """
+        self.effects.append(Send(peer, message))
+
+    def propose(self, proposal: Proposal) -> None:
+        """Adds a record to those that leave at the end of the turn.
+
+        Args:
+            proposal: The record and what follows its commit.
+        """
+        self.proposals.append(proposal)
+
+    def flush_proposals(self) -> None:
+        """Hands the turn's records to the log."""
+        proposals = self.proposals
+        if not proposals:
+            return
+        self.proposals = []
+        commands = [encode_message(proposal.record) for proposal in proposals]
+        last_index = self.replica.propose(commands)
+        index = last_index - len(commands)
+        for proposal in proposals:
+            index += 1
+            if proposal.on_commit is not None:
+                self.commits.wait(
+                    index,
+                    proposal.on_commit,
+                    synced=proposal.synced,
+                )
+            if proposal.on_synced is not None:
+                self.commits.wait(index, proposal.on_synced, synced=True)
+
+    def release_commits(self, now_s: float) -> None:
+        """Carries out the decisions whose records count by now.
+
+        Args:
+            now_s: Monotonic clock.
+        """
+        released = self.commits.advance(self.memory_index, self.synced_index)
+        for on_commit in released:
+            on_commit(now_s)
--- /dev/null
+++ b/packages/core/cactushead_core/entry/gateway.py
@@ -0,0 +1,365 @@
+"""The entry's exchanges between callers and the leader."""
+
+from dataclasses import dataclass
+
+from ..config import EntryConfig
+from ..documents.messages import (
+    DocumentAccepted,
+    DocumentRefused,
+    DocumentsListed,
+    QueryDocuments,
+    SubmitDocument,
+)
+from ..effects import (
+    AcceptedResponse,
+    AnswerResponse,
+    DocumentResponse,
+    DocumentsResponse,
+    Effect,
+    EventKind,
+    Measure,
+    Record,
+    RefusalResponse,
+    Respond,
+    Response,
+    Send,
+    StatusResponse,
+)
+from ..events import (
+    CallerEvent,
+    DocumentsQueried,
+    DocumentSubmitted,
+    JobCancelRequested,
+    JobQueried,
+    JobSubmitted,
+)
+from ..jobs.messages import (
+    CancelJob,
+    JobAccepted,
+    JobAnswered,
+    JobRefused,
+    JobReported,
+    QueryJob,
+    SubmitJob,
+    TermMismatch,
+)
+from ..jobs.model import Attempt, Refusal, RefusalReason
+from ..messages.base import Message
+
+ANSWER_MARGIN_S = 1.0
+EXCHANGE_S = 10.0
+NO_LEADER_S = 5.0
+RETRY_AFTER_S = 1.0
+
+LeaderAnswer = (
+    JobAccepted
+    | JobAnswered
+    | JobRefused
+    | JobReported
+    | DocumentAccepted
+    | DocumentRefused
+    | DocumentsListed
+)
+
+
+@dataclass(slots=True)
+class Exchange:
+    """A caller's request on its way to the leader and back.
+
+    Attributes:
+        event: The request.
+        sequence: Number of the exchange.
+        end_s: When the caller is told that no answer came.
+        forwarded: Whether it was ever sent to a leader.
+        sent_term: Term of the leader that it was last sent to.
+    """
+
+    event: CallerEvent
+    sequence: int
+    end_s: float
+    forwarded: bool = False
+    sent_term: int = -1
+
+
+class Gateway:
+    """Forwards requests to the leader and sends them again to the next.
+
+    Explanation:
+        A request names the term of the leader that it is meant for, so that
+        a copy which is late or reaches another leader starts nothing. The
+        caller hears `not_run` only from a leader, or when the request never
+        left this process.
+    """
+
+    def __init__(self, config: EntryConfig) -> None:
+        """Starts without a known leader.
+
+        Args:
+            config: Configuration of the entry.
+        """
+        self._config = config
+        self._sequence = 0
+        self._exchanges: dict[int, Exchange] = {}
+        self._by_request: dict[int, Exchange] = {}
+        self.leader = ''
+        self.term = 0
+        self.draining = False
+        self.connected: set[str] = {config.name}
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is open."""
+        return not self._exchanges
+
+    def request(self, event: CallerEvent, effects: list[Effect]) -> None:
+        """Takes a request of a caller or operator.
+
+        Args:
+            event: The request.
+            effects: Receives the effects.
+        """
+        refusal = self._find_refusal(event)
+        if refusal is not None:
+            response = RefusalResponse(refusal)
+            effects.append(Respond(event.request_id, response))
+            return
+        self._sequence += 1
+        end_s = event.now_s + _patience_s(event)
+        exchange = Exchange(event, self._sequence, end_s)
+        self._exchanges[exchange.sequence] = exchange
+        self._by_request[event.request_id] = exchange
+        if isinstance(event, JobSubmitted):
+            effects.append(Record(EventKind.SUBMITTED, event.request.job))
+        self._forward(exchange, event.now_s, effects)
+
+    def caller_gone(self, request_id: int) -> None:
+        """Forgets a request whose caller hung up; its job goes on.
+
+        Args:
+            request_id: Number of the request.
+        """
+        exchange = self._by_request.pop(request_id, None)
+        if exchange is not None:
+            del self._exchanges[exchange.sequence]
+
+    def leader_known(
+        self,
+        term: int,
+        leader: str,
+        now_s: float,
+        effects: list[Effect],
+    ) -> None:
+        """Notes the leader and sends it the open requests.
+
+        Args:
+            term: Its term.
+            leader: Its name, empty when unknown.
+            now_s: Monotonic clock.
+            effects: Receives the effects.
+        """
+        if term < self.term:
+            return
+        if term == self.term and not leader:
+            return
+        self.term = term
+        self.leader = leader
+        self._forward_open(now_s, effects)
+
+    def link_up(self, name: str, now_s: float, effects: list[Effect]) -> None:
+        """Notes a new link; open requests go to the leader again.
+
+        Args:
+            name: Name of the process.
+            now_s: Monotonic clock.
+            effects: Receives the effects.
+        """
+        self.connected.add(name)
+        if name != self.leader:
+            return
+        for exchange in self._exchanges.values():
+            exchange.sent_term = -1
+        self._forward_open(now_s, effects)
+
+    def link_down(self, name: str) -> None:
+        """Notes that no link to a process is up.
+
+        Args:
+            name: Name of the process.
+        """
+        self.connected.discard(name)
+
+    def answer(
+        self,
+        message: LeaderAnswer,
+        now_s: float,
+        effects: list[Effect],
+    ) -> None:
+        """Answers the caller whose exchange the leader answers.
+
+        Args:
+            message: The leader's answer.
+            now_s: Monotonic clock.
+            effects: Receives the effects.
+        """
+        if not self._mine(message.attempt):
+            return
+        exchange = self._exchanges.get(message.attempt.sequence)
+        if exchange is None:
+            return
+        response = _make_response(message)
+        if isinstance(exchange.event, JobSubmitted):
+            effects.append(
+                Record(EventKind.ANSWERED, exchange.event.request.job),
+            )
+            effects.append(
+                Measure('response_s', now_s - exchange.event.now_s),
+            )
+        self._finish(exchange, response, effects)
+
+    def term_mismatch(
+        self,
+        message: TermMismatch,
+        now_s: float,
+        effects: list[Effect],
+    ) -> None:
+        """Sends an exchange to the leader that the answer names.
+
+        Args:
+            message: The answer of a process that doesn't lead that term.
+            now_s: Monotonic clock.
+            effects: Receives the effects.
+        """
+        exchange = self._exchanges.get(message.attempt.sequence)
+        if exchange is not None and self._mine(message.attempt):
+            exchange.sent_term = -1
+        self.leader_known(message.term, message.leader, now_s, effects)
+
+    def tick(self, now_s: float, effects: list[Effect]) -> None:
+        """Ends exchanges that got no answer in time.
+
+        Args:
+            now_s: Monotonic clock.
+            effects: Receives the effects.
+        """
+        for exchange in list(self._exchanges.values()):
+            waited_s = now_s - exchange.event.now_s
+            if not exchange.forwarded and waited_s > NO_LEADER_S:
+                refusal = Refusal(
+                    RefusalReason.NO_LEADER,
+                    retry_after_s=RETRY_AFTER_S,
+                )
+                self._finish(exchange, RefusalResponse(refusal), effects)
+            elif now_s > exchange.end_s:
+                refusal = Refusal(
+                    RefusalReason.NO_ANSWER,
+                    not_run=not exchange.forwarded,
+                )
+                self._finish(exchange, RefusalResponse(refusal), effects)
+        self._forward_open(now_s, effects)
+
+    def _mine(self, attempt: Attempt) -> bool:
+        same_name = attempt.entry == self._config.name
+        return same_name and attempt.incarnation == self._config.incarnation
+
+    def _find_refusal(self, event: CallerEvent) -> Refusal | None:
+        if self.draining and isinstance(event, JobSubmitted):
+            return Refusal(
+                RefusalReason.DRAINING,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        if len(self._exchanges) >= self._config.bounds.pending_requests:
+            return Refusal(
+                RefusalReason.QUEUE_FULL,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        return None
+
+    def _forward_open(self, now_s: float, effects: list[Effect]) -> None:
+        for exchange in self._exchanges.values():
+            if exchange.sent_term < self.term:
+                self._forward(exchange, now_s, effects)
+
+    def _forward(
+        self,
+        exchange: Exchange,
+        now_s: float,
+        effects: list[Effect],
+    ) -> None:
+        if self.leader not in self.connected:
+            return
+        attempt = Attempt(
+            self._config.name,
+            self._config.incarnation,
+            exchange.sequence,
+        )
+        message = _make_message(exchange.event, attempt, self.term, now_s)
+        exchange.forwarded = True
+        exchange.sent_term = self.term
+        if isinstance(message, SubmitJob):
+            effects.append(
+                Record(
+                    EventKind.FORWARDED,
+                    message.request.job,
+                    subject=self.leader,
+                ),
+            )
+        effects.append(Send(self.leader, message))
+
+    def _finish(
+        self,
+        exchange: Exchange,
+        response: Response,
+        effects: list[Effect],
+    ) -> None:
+        del self._exchanges[exchange.sequence]
+        self._by_request.pop(exchange.event.request_id, None)
+        effects.append(Respond(exchange.event.request_id, response))
+
+
+def _patience_s(event: CallerEvent) -> float:
+    if isinstance(event, JobSubmitted):
+        return event.request.deadline_s + ANSWER_MARGIN_S
+    return EXCHANGE_S
+
+
+def _make_message(
+    event: CallerEvent,
+    attempt: Attempt,
+    term: int,
+    now_s: float,
+) -> Message:
+    match event:
+        case JobSubmitted():
+            age_s = now_s - event.now_s
+            return SubmitJob(attempt, term, event.request, age_s, event.wait)
+        case JobQueried():
+            return QueryJob(attempt, term, event.job)
+        case JobCancelRequested():
+            return CancelJob(attempt, term, event.job)
+        case DocumentSubmitted():
+            return SubmitDocument(attempt, term, event.document)
+        case DocumentsQueried():
+            return QueryDocuments(attempt, term, event.service)
+    raise TypeError(f'no message for {type(event).__name__}')
+
+
+def _make_response(message: LeaderAnswer) -> Response:
+    match message:
+        case JobAccepted():
+            return AcceptedResponse(message.status.job)
+        case JobAnswered():
+            return AnswerResponse(message.answer)
+        case JobRefused():
+            return RefusalResponse(message.refusal)
+        case JobReported():
+            return StatusResponse(message.status)
+        case DocumentAccepted():
+            return DocumentResponse(
+                message.service,
+                message.version,
+                message.in_force,
+                message.pending,
+            )
+        case DocumentRefused():
+            return RefusalResponse(message.refusal)
+    return DocumentsResponse(message.documents)
--- /dev/null
+++ b/packages/core/cactushead_core/entry/node.py
@@ -0,0 +1,460 @@
+"""The entry's reducer."""
+
+from collections import deque
+
+from ..agents.messages import Heartbeat, LeaderHint
+from ..config import EntryConfig
+from ..documents.messages import (
+    DocumentAccepted,
+    DocumentNotice,
+    DocumentRefused,
+    DocumentsHeld,
+    DocumentsListed,
+    DocumentVersion,
+    QueryDocuments,
+    SubmitDocument,
+)
+from ..effects import Drained, Effect, EventKind, Record, Send
+from ..events import (
+    CallerEvent,
+    CallerGone,
+    DrainRequested,
+    Event,
+    MessageReceived,
+    Peer,
+    PeerConnected,
+    PeerLost,
+    PeerRole,
+    Tick,
+    TurnEnded,
+)
+from ..jobs.messages import (
+    CancelJob,
+    JobAccepted,
+    JobAnswered,
+    JobRefused,
+    JobReported,
+    QueryJob,
+    SubmitJob,
+    TermMismatch,
+)
+from ..messages.base import Message
+from ..messages.codec import decode_message, encode_message
+from ..reducer import Node
+from ..replication import (
+    EntriesCommitted,
+    LeaderKnown,
+    LeaderLost,
+    LeaderReady,
+    MemoryCommitted,
+    Notice,
+    Replica,
+    ReplicaOutput,
+    ReplicaSettings,
+    SnapshotInstalled,
+    SnapshotWanted,
+    StoredLog,
+)
+from ..scheduling import ArrivalOrder, FirstFitPlacement, Scheduler
+from .gateway import Gateway
+from .leader import Leader
+from .state import ReplicatedState, StateInvariantError, StateSnapshot
+
+_ANSWERS = (
+    JobAccepted,
+    JobAnswered,
+    JobRefused,
+    JobReported,
+    DocumentAccepted,
+    DocumentRefused,
+    DocumentsListed,
+)
+_REQUESTS = (SubmitJob, QueryJob, CancelJob, SubmitDocument, QueryDocuments)
+
+
+def make_scheduler() -> Scheduler:
+    """Returns the scheduler of a new leader."""
+    return Scheduler(ArrivalOrder, FirstFitPlacement())
+
+
+class EntryNode(Node):
+    """An entry; with a disk also a voter, and the leader when elected."""
+
+    def __init__(
+        self,
+        config: EntryConfig,
+        stored: StoredLog,
+        now_s: float,
+    ) -> None:
+        """Starts from what the disk held.
+
+        Args:
+            config: Configuration.
+            stored: Contents of the disk; empty for an entry without one.
+            now_s: Monotonic clock.
+        """
+        self.config = config
+        self.state = ReplicatedState()
+        self.gateway = Gateway(config)
+        self.leader: Leader | None = None
+        self.versions: dict[str, int] = {}
+        self._self = Peer(config.name, PeerRole.ENTRY, config.incarnation)
+        self._peers: dict[str, Peer] = {}
+        self._loopback: deque[Message] = deque()
+        self._memory_index = 0
+        self._synced_index = 0
+        self._drained = False
+        self._replica: Replica | None = None
+        if config.disk_incarnation:
+            settings = ReplicaSettings(
+                config.name,
+                config.disk_incarnation,
+                config.voters,
+                seed=config.seed,
+            )
+            self._replica = Replica(settings, stored, now_s)
+        self._notice_handlers = {
+            LeaderKnown: self._on_leader_known,
+            LeaderReady: self._on_leader_ready,
+            LeaderLost: self._on_leader_lost,
+            MemoryCommitted: self._on_memory_committed,
+            EntriesCommitted: self._on_entries_committed,
+            SnapshotInstalled: self._on_snapshot_installed,
+            SnapshotWanted: self._on_snapshot_wanted,
+        }
+
+    @property
+    def ready(self) -> bool:
+        """Whether a leader is known and a link to it is up."""
+        return self.gateway.leader in self.gateway.connected
+
+    def _reduce(self, event: Event, effects: list[Effect]) -> None:
+        if not isinstance(event, TurnEnded):
+            self._feed_replica(event, effects)
+        self._dispatch(event, effects)
+        self._drain_loopback(event.now_s, effects)
+        if isinstance(event, TurnEnded):
+            self._end_turn(event, effects)
+
+    def _dispatch(self, event: Event, effects: list[Effect]) -> None:
+        match event:
+            case MessageReceived():
+                self._on_message(event, effects)
+            case CallerGone():
+                self.gateway.caller_gone(event.request_id)
+            case CallerEvent():
+                self.gateway.request(event, effects)
+            case Tick():
+                self._on_tick(event, effects)
+            case PeerConnected():
+                self._on_peer_connected(event, effects)
+            case PeerLost():
+                self._on_peer_lost(event, effects)
+            case DrainRequested():
+                self._on_drain_requested(effects)
+
+    def _end_turn(self, event: TurnEnded, effects: list[Effect]) -> None:
+        if self.leader is not None:
+            self.leader.flush(event.now_s)
+        self._feed_replica(event, effects)
+        self._collect(effects)
+        self._drain_loopback(event.now_s, effects)
+        if self.gateway.draining and self.gateway.idle and not self._drained:
+            self._drained = True
+            effects.append(
+                Record(
+                    EventKind.DRAINED,
+                    subject=self.config.name,
+                    logged=True,
+                ),
+            )
+            effects.append(Drained())
+
+    def _collect(self, effects: list[Effect]) -> None:
+        if self.leader is None:
+            return
+        for effect in self.leader.take_effects():
+            if isinstance(effect, Send) and effect.peer == self.config.name:
+                self._loopback.append(effect.message)
+            else:
+                effects.append(effect)
+
+    def _drain_loopback(self, now_s: float, effects: list[Effect]) -> None:
+        self._collect(effects)
+        self._divert(effects)
+        while self._loopback:
+            message = self._loopback.popleft()
+            event = MessageReceived(now_s, self._self, message)
+            self._on_message(event, effects)
+            self._collect(effects)
+            self._divert(effects)
+
+    def _divert(self, effects: list[Effect]) -> None:
+        # What the entry sends to itself stays in the process.
+        kept: list[Effect] = []
+        for effect in effects:
+            if isinstance(effect, Send) and effect.peer == self.config.name:
+                self._loopback.append(effect.message)
+            else:
+                kept.append(effect)
+        effects.clear()
+        effects.extend(kept)
+
+    # The replicated log.
+
+    def _feed_replica(self, event: Event, effects: list[Effect]) -> None:
+        if self._replica is None:
+            return
+        output = self._replica.handle(event)
+        self._take_output(output, event.now_s, effects)
+
+    def _take_output(
+        self,
+        output: ReplicaOutput,
+        now_s: float,
+        effects: list[Effect],
+    ) -> None:
+        effects.extend(output.effects)
+        for notice in output.notices:
+            handler = self._notice_handlers[type(notice)]
+            handler(notice, now_s, effects)
+
+    def _on_leader_known(
+        self,
+        notice: LeaderKnown,
+        now_s: float,
+        effects: list[Effect],
+    ) -> None:
+        self.gateway.leader_known(notice.term, '', now_s, effects)
+        if notice.leader != self.config.name:
+            # This process is known as leader only once it can decide.
+            self._announce(notice.term, notice.leader, now_s, effects)
+
+    def _on_leader_ready(
+        self,
+        notice: LeaderReady,
+        now_s: float,
+        effects: list[Effect],
+    ) -> None:
+        if self._replica is None:
+            return
+        self.leader = Leader(
+            self.config,
+            self._replica,
+            self.state,
+            make_scheduler(),
+            now_s,
+        )
+        effects.append(
+            Record(
+                EventKind.LEADER,
+                subject=self.config.name,
+                detail=f'term {notice.term}',
+                logged=True,
+            ),
+        )
+        for peer in self._peers.values():
+            self.leader.connected(peer)
+        self._announce(notice.term, self.config.name, now_s, effects)
+
+    def _on_leader_lost(
+        self,
+        notice: LeaderLost,
+        now_s: float,
+        effects: list[Effect],
+    ) -> None:
+        self.leader = None
+        if self.gateway.leader == self.config.name:
+            self.gateway.leader = ''
+        effects.append(
+            Record(
+                EventKind.LEADER_LOST,
+                subject=self.config.name,
+                detail=f'term {notice.term}',
+                logged=True,
+            ),
+        )
+
+    def _on_memory_committed(
+        self,
+        notice: MemoryCommitted,
+        now_s: float,
+        effects: list[Effect],
+    ) -> None:
+        self._memory_index = notice.index
+        self._release(now_s)
+
+    def _on_entries_committed(
+        self,
+        notice: EntriesCommitted,
+        now_s: float,
+        effects: list[Effect],
+    ) -> None:
+        for entry in notice.entries:
+            if entry.index != self._synced_index + 1:
+                raise StateInvariantError(
+                    f'entry {entry.index} follows {self._synced_index}',
+                )
+            self._synced_index = entry.index
+            if entry.command:
+                self.state.apply(decode_message(entry.command))
+        self._release(now_s)
+
+    def _on_snapshot_installed(
+        self,
+        notice: SnapshotInstalled,
+        now_s: float,
+        effects: list[Effect],
+    ) -> None:
+        snapshot = decode_message(notice.state)
+        if isinstance(snapshot, StateSnapshot):
+            self.state.restore(snapshot)
+        self._synced_index = notice.index
+
+    def _on_snapshot_wanted(
+        self,
+        notice: Notice,
+        now_s: float,
+        effects: list[Effect],
+    ) -> None:
+        if self._replica is None:
+            return
+        blob = encode_message(self.state.snapshot())
+        output = self._replica.compact(self._synced_index, blob)
+        self._take_output(output, now_s, effects)
+
+    def _release(self, now_s: float) -> None:
+        if self.leader is not None:
+            self.leader.committed(
+                self._memory_index,
+                self._synced_index,
+                now_s,
+            )
+
+    def _announce(
+        self,
+        term: int,
+        leader: str,
+        now_s: float,
+        effects: list[Effect],
+    ) -> None:
+        hint = LeaderHint(term, leader)
+        effects.extend([Send(peer, hint) for peer in self._peers])
+        self.gateway.leader_known(term, leader, now_s, effects)
+
+    # Links, timers and messages.
+
+    def _on_tick(self, event: Tick, effects: list[Effect]) -> None:
+        if self.leader is not None:
+            self.leader.tick(event.now_s)
+        self.gateway.tick(event.now_s, effects)
+
+    def _on_peer_connected(
+        self,
+        event: PeerConnected,
+        effects: list[Effect],
+    ) -> None:
+        peer = event.peer
+        self._peers[peer.name] = peer
+        if self._replica is not None:
+            hint = LeaderHint(self.gateway.term, self.gateway.leader)
+            effects.append(Send(peer.name, hint))
+        if self.leader is not None:
+            self.leader.connected(peer)
+        self.gateway.link_up(peer.name, event.now_s, effects)
+
+    def _on_peer_lost(self, event: PeerLost, effects: list[Effect]) -> None:
+        self._peers.pop(event.peer.name, None)
+        self.gateway.link_down(event.peer.name)
+        if self.leader is not None:
+            self.leader.disconnected(event.peer, event.now_s)
+
+    def _on_drain_requested(self, effects: list[Effect]) -> None:
+        if self.gateway.draining:
+            return
+        self.gateway.draining = True
+        effects.append(
+            Record(EventKind.DRAIN, subject=self.config.name, logged=True),
+        )
+
+    def _on_message(
+        self,
+        event: MessageReceived,
+        effects: list[Effect],
+    ) -> None:
+        message = event.message
+        now_s = event.now_s
+        match message:
+            case TermMismatch():
+                self.gateway.term_mismatch(message, now_s, effects)
+            case LeaderHint():
+                self._on_leader_hint(message, now_s, effects)
+            case DocumentNotice():
+                self._on_document_notice(message, event.sender, effects)
+            case _ if isinstance(message, _ANSWERS):
+                self.gateway.answer(message, now_s, effects)
+            case _:
+                self._on_leader_message(message, event.sender, now_s, effects)
+
+    def _on_leader_message(
+        self,
+        message: Message,
+        sender: Peer,
+        now_s: float,
+        effects: list[Effect],
+    ) -> None:
+        if self._misdirected(message):
+            self._redirect(message, sender, effects)
+        elif self.leader is not None:
+            self.leader.handle(sender, message, now_s)
+
+    def _misdirected(self, message: Message) -> bool:
+        if isinstance(message, _REQUESTS):
+            return self.leader is None or self.leader.term != message.term
+        return isinstance(message, Heartbeat) and self.leader is None
+
+    def _redirect(
+        self,
+        message: Message,
+        sender: Peer,
+        effects: list[Effect],
+    ) -> None:
+        term = self.gateway.term
+        leader = self.gateway.leader
+        reply: Message = LeaderHint(term, leader)
+        if isinstance(message, _REQUESTS):
+            reply = TermMismatch(message.attempt, term, leader)
+        effects.append(Send(sender.name, reply))
+
+    def _on_leader_hint(
+        self,
+        message: LeaderHint,
+        now_s: float,
+        effects: list[Effect],
+    ) -> None:
+        if self._replica is None:
+            self.gateway.leader_known(
+                message.term,
+                message.leader,
+                now_s,
+                effects,
+            )
+
+    def _on_document_notice(
+        self,
+        message: DocumentNotice,
+        sender: Peer,
+        effects: list[Effect],
+    ) -> None:
+        held: list[DocumentVersion] = []
+        for document in message.documents:
+            known = self.versions.get(document.service, 0)
+            version = max(known, document.version)
+            self.versions[document.service] = version
+            held.append(DocumentVersion(document.service, version))
+        reply = DocumentsHeld(
+            self.config.name,
+            self.config.incarnation,
+            tuple(held),
+        )
+        effects.append(Send(sender.name, reply))
--- /dev/null
+++ b/packages/core/cactushead_core/entry/outcomes.py
@@ -0,0 +1,308 @@
+"""Outcomes and reports of agents."""
+
+from dataclasses import dataclass
+
+from ..agents.messages import StartReport
+from ..agents.model import (
+    OutcomeStatus,
+    TaskOutcome,
+    TaskRef,
+    TaskReport,
+    TaskStage,
+)
+from ..effects import EventKind, Measure, Record
+from ..jobs.model import JobId
+from .admission import queued_task
+from .agents import AgentRegistry, AgentView
+from .closing import JobCloser
+from .context import LeaderContext
+from .job import OpenJob, TaskPhase
+from .placing import TaskPlacer
+
+
+@dataclass(frozen=True, slots=True)
+class Orphan:
+    """A started task whose job the log doesn't hold.
+
+    Attributes:
+        view: The agent that has it.
+        report: What the agent reported.
+    """
+
+    view: AgentView
+    report: TaskReport
+
+
+class OutcomeHandler:
+    """Takes what agents say of tasks into the jobs."""
+
+    def __init__(
+        self,
+        context: LeaderContext,
+        registry: AgentRegistry,
+        jobs: dict[JobId, OpenJob],
+        closer: JobCloser,
+        placer: TaskPlacer,
+    ) -> None:
+        """Starts without orphans.
+
+        Args:
+            context: The leader's context.
+            registry: The agents of this term.
+            jobs: Jobs without a committed answer, shared with the manager.
+            closer: Ends jobs.
+            placer: Queues tasks that may start again.
+        """
+        self._context = context
+        self._registry = registry
+        self._jobs = jobs
+        self._closer = closer
+        self._placer = placer
+        self._orphans: dict[str, Orphan] = {}
+
+    def outcome(
+        self,
+        view: AgentView,
+        outcome: TaskOutcome,
+        now_s: float,
+    ) -> None:
+        """Takes one outcome of a current agent.
+
+        Args:
+            view: The agent.
+            outcome: The outcome.
+            now_s: Monotonic clock.
+        """
+        task_id = outcome.task_id
+        if task_id in view.stale:
+            self._end_stale(view, outcome)
+            return
+        held = view.tasks.get(task_id)
+        if held is None or held.start != outcome.start:
+            self._acknowledge_repeated(view, outcome)
+            return
+        self._registry.release(view, task_id)
+        self._free_slot(view, outcome, now_s)
+        job = self._jobs.get(outcome.job)
+        if job is None:
+            self._registry.acknowledge(view.name, task_id)
+            return
+        self._take_outcome(job, view, outcome, now_s)
+
+    def report(
+        self,
+        view: AgentView,
+        message: StartReport,
+        now_s: float,
+    ) -> None:
+        """Reconciles what an agent started with what was assigned.
+
+        Args:
+            view: The agent.
+            message: Its report of the present epoch.
+            now_s: Monotonic clock.
+        """
+        reported = {report.task_id: report for report in message.tasks}
+        for task_id, ref in list(view.tasks.items()):
+            report = reported.get(task_id)
+            if report is None or report.start < ref.start:
+                self._return_task(view, ref, now_s)
+        for report in message.tasks:
+            if report.task_id not in view.tasks:
+                self._adopt_unknown(view, report)
+            if report.outcome is not None:
+                self.outcome(view, report.outcome, now_s)
+
+    def lost(self, view: AgentView, now_s: float) -> None:
+        """Fails the jobs of tasks that a lost agent may have started.
+
+        Args:
+            view: The agent that is replaced or given up.
+            now_s: Monotonic clock.
+        """
+        for ref in list(view.tasks.values()):
+            job = self._jobs.get(ref.job)
+            if job is None:
+                continue
+            task = job.tasks[ref.index]
+            if task.phase is TaskPhase.ASSIGNED and task.agent == view.name:
+                task.phase = TaskPhase.ENDED
+                error = f'task {ref.index} may have run on lost {view.name}'
+                self._closer.fail(job, error)
+                self._closer.settle(job, now_s)
+
+    def adopt_orphan(self, job: OpenJob, index: int) -> bool:
+        """Takes a task of a new job that an agent already started.
+
+        Explanation:
+            A repeatable job's record can be lost with the voters that held
+            it in memory only; what its agents started must not start again.
+
+        Args:
+            job: The job.
+            index: Index of the task.
+
+        Returns:
+            Whether an agent has the task.
+        """
+        orphan = self._orphans.pop(job.job.task_id(index), None)
+        if orphan is None:
+            return False
+        self._hold(job, orphan.view, orphan.report)
+        # The agent repeats the outcome when it is asked for a new report.
+        self._registry.connected(orphan.view.name)
+        return True
+
+    def _take_outcome(
+        self,
+        job: OpenJob,
+        view: AgentView,
+        outcome: TaskOutcome,
+        now_s: float,
+    ) -> None:
+        task = job.tasks[outcome.index]
+        task.phase = TaskPhase.ENDED
+        status = outcome.status
+        over = job.cancelled or job.answer is not None
+        if status is OutcomeStatus.SUCCEEDED:
+            task.result_json = outcome.result_json
+            job.ended_tasks += 1
+        elif status is OutcomeStatus.REFUSED:
+            task.may_have_run = task.failures > 0
+            self._registry.acknowledge(view.name, outcome.task_id)
+            if not over:
+                self._placer.enqueue(job, outcome.index, now_s)
+        elif not over:
+            self._take_failure(job, view, outcome, now_s)
+        if job.answered:
+            self._registry.acknowledge(view.name, outcome.task_id)
+        self._closer.settle(job, now_s)
+
+    def _take_failure(
+        self,
+        job: OpenJob,
+        view: AgentView,
+        outcome: TaskOutcome,
+        now_s: float,
+    ) -> None:
+        task = job.tasks[outcome.index]
+        task.failures += 1
+        failed = outcome.status is OutcomeStatus.FAILED
+        if failed and self._may_restart(job, outcome, now_s):
+            self._registry.acknowledge(view.name, outcome.task_id)
+            self._placer.enqueue(job, outcome.index, now_s)
+            return
+        error = f'task {outcome.index} {outcome.status}: {outcome.error}'
+        self._closer.fail(job, error)
+
+    def _may_restart(
+        self,
+        job: OpenJob,
+        outcome: TaskOutcome,
+        now_s: float,
+    ) -> bool:
+        if not job.kind.repeatable:
+            return False
+        failures = job.tasks[outcome.index].failures
+        return failures < job.kind.max_starts
+
+    def _free_slot(
+        self,
+        view: AgentView,
+        outcome: TaskOutcome,
+        now_s: float,
+    ) -> None:
+        scheduler = self._context.scheduler
+        if outcome.status is OutcomeStatus.REFUSED:
+            scheduler.task_returned(view.name, outcome.task_id)
+            return
+        scheduler.task_ended(view.name, outcome, now_s)
+        self._context.effects.append(Measure('run_s', outcome.run_s))
+        self._context.effects.append(
+            Record(
+                EventKind.OUTCOME,
+                outcome.job,
+                outcome.index,
+                view.name,
+                outcome.status,
+            ),
+        )
+
+    def _return_task(
+        self,
+        view: AgentView,
+        ref: TaskRef,
+        now_s: float,
+    ) -> None:
+        missing = TaskOutcome(
+            ref.job,
+            ref.index,
+            ref.start,
+            OutcomeStatus.REFUSED,
+            error='never received',
+        )
+        self.outcome(view, missing, now_s)
+
+    def _acknowledge_repeated(
+        self,
+        view: AgentView,
+        outcome: TaskOutcome,
+    ) -> None:
+        job = self._jobs.get(outcome.job)
+        if job is None:
+            over = outcome.job in self._context.state.jobs
+        else:
+            newer = job.tasks[outcome.index].start > outcome.start
+            over = newer or job.answered
+        if over:
+            self._registry.acknowledge(view.name, outcome.task_id)
+
+    def _end_stale(self, view: AgentView, outcome: TaskOutcome) -> None:
+        del view.stale[outcome.task_id]
+        self._context.scheduler.task_returned(view.name, outcome.task_id)
+
+    def _adopt_unknown(self, view: AgentView, report: TaskReport) -> None:
+        job = self._jobs.get(report.job)
+        ref = TaskRef(report.job, report.index, report.start)
+        if job is None and report.job not in self._context.state.jobs:
+            self._orphans[report.task_id] = Orphan(view, report)
+            return
+        if job is not None:
+            task = job.tasks[report.index]
+            if task.phase is TaskPhase.WAITING and task.start < report.start:
+                self._restore_start(job, view, report)
+                return
+        if report.stage is not TaskStage.ENDED:
+            view.tasks[ref.task_id] = ref
+            self._registry.cancel(ref, view.name)
+
+    def _restore_start(
+        self,
+        job: OpenJob,
+        view: AgentView,
+        report: TaskReport,
+    ) -> None:
+        scheduler = self._context.scheduler
+        for waiting in scheduler.cancel_job(job.job):
+            if waiting.index != report.index:
+                scheduler.enqueue(waiting)
+        self._hold(job, view, report)
+
+    def _hold(
+        self,
+        job: OpenJob,
+        view: AgentView,
+        report: TaskReport,
+    ) -> None:
+        task = job.tasks[report.index]
+        task.phase = TaskPhase.ASSIGNED
+        task.may_have_run = True
+        task.start = report.start
+        task.agent = view.name
+        task.incarnation = view.incarnation
+        ref = TaskRef(report.job, report.index, report.start)
+        view.tasks[ref.task_id] = ref
+        self._context.scheduler.occupy(
+            queued_task(self._context, job, report.index, 0),
+            view.name,
+        )
--- /dev/null
+++ b/packages/core/cactushead_core/entry/placing.py
@@ -0,0 +1,208 @@
+"""Placement of tasks: from the queue through the log to the agents."""
+
+from ..agents.messages import Assign
+from ..agents.model import Assignment, TaskRef
+from ..effects import EventKind, Measure, Record
+from ..jobs.model import JobId
+from ..jobs.records import JobAdmitted, Placement, TasksPlaced
+from ..scheduling import PlacedTask
+from .admission import queued_task
+from .agents import AgentRegistry, AgentView
+from .closing import JobCloser
+from .context import LeaderContext, Proposal
+from .job import OpenJob, TaskPhase
+
+
+class TaskPlacer:
+    """Sends a task to its agent once a majority holds the placement."""
+
+    def __init__(
+        self,
+        context: LeaderContext,
+        registry: AgentRegistry,
+        jobs: dict[JobId, OpenJob],
+        closer: JobCloser,
+    ) -> None:
+        """Starts without placements.
+
+        Args:
+            context: The leader's context.
+            registry: The agents of this term.
+            jobs: Jobs without a committed answer, shared with the manager.
+            closer: Tells exchanges that a job is admitted.
+        """
+        self._context = context
+        self._registry = registry
+        self._jobs = jobs
+        self._closer = closer
+        self._new: dict[JobId, OpenJob] = {}
+        self._assignments: dict[str, list[Assignment]] = {}
+
+    def admit(self, job: OpenJob) -> None:
+        """Notes a job whose admission is proposed at the end of the turn.
+
+        Args:
+            job: The job.
+        """
+        self._new[job.job] = job
+
+    def enqueue(self, job: OpenJob, index: int, now_s: float) -> None:
+        """Queues a task for its next placement.
+
+        Args:
+            job: The job.
+            index: Index of the task.
+            now_s: Monotonic clock.
+        """
+        job.tasks[index].phase = TaskPhase.WAITING
+        task = queued_task(self._context, job, index, now_s)
+        self._context.scheduler.enqueue(task)
+
+    def flush(self, now_s: float) -> None:
+        """Places waiting tasks and proposes the turn's records.
+
+        Args:
+            now_s: Monotonic clock.
+        """
+        placed = self._context.scheduler.place(now_s)
+        placements: dict[bool, list[Placement]] = {True: [], False: []}
+        first: dict[JobId, list[Placement]] = {job: [] for job in self._new}
+        for choice in placed:
+            job = self._jobs[choice.task.job]
+            placement = self._note_placement(job, choice, now_s)
+            if job.job in first:
+                first[job.job].append(placement)
+            else:
+                placements[job.synced].append(placement)
+        for job in self._new.values():
+            self._propose_admission(job, tuple(first[job.job]))
+        self._new = {}
+        for synced, batch in placements.items():
+            if batch:
+                self._propose_placements(tuple(batch), synced=synced)
+
+    def send_assignments(self) -> None:
+        """Sends the released assignments, one message an agent."""
+        for name, tasks in self._assignments.items():
+            view = self._registry.views[name]
+            self._context.send(
+                name,
+                Assign(
+                    self._context.term,
+                    view.epoch,
+                    view.incarnation,
+                    view.echo_s,
+                    tuple(tasks),
+                ),
+            )
+            self._registry.flush_acknowledged(view)
+        self._assignments = {}
+
+    def _propose_admission(
+        self,
+        job: OpenJob,
+        placements: tuple[Placement, ...],
+    ) -> None:
+        record = JobAdmitted(
+            job.request,
+            job.document_version,
+            job.kind.repeatable,
+            placements,
+        )
+
+        def admitted(now_s: float) -> None:
+            job.admitted = True
+            self._context.effects.append(Record(EventKind.ADMITTED, job.job))
+            for waiter in job.accept_waiters.values():
+                self._closer.accept(waiter, job)
+            job.accept_waiters = {}
+            for placement in placements:
+                self._release_placement(placement, now_s)
+
+        self._context.propose(Proposal(record, admitted, job.synced))
+
+    def _propose_placements(
+        self,
+        placements: tuple[Placement, ...],
+        *,
+        synced: bool,
+    ) -> None:
+        def placed(now_s: float) -> None:
+            for placement in placements:
+                self._release_placement(placement, now_s)
+
+        self._context.propose(
+            Proposal(TasksPlaced(placements), placed, synced),
+        )
+
+    def _note_placement(
+        self,
+        job: OpenJob,
+        choice: PlacedTask,
+        now_s: float,
+    ) -> Placement:
+        task = job.tasks[choice.task.index]
+        task.phase = TaskPhase.PLACED
+        task.start += 1
+        task.agent = choice.upstream
+        task.incarnation = self._registry.views[choice.upstream].incarnation
+        self._context.effects.append(
+            Measure('queue_wait_s', now_s - choice.task.queued_s),
+        )
+        return Placement(
+            job.job,
+            choice.task.index,
+            task.start,
+            task.agent,
+            task.incarnation,
+        )
+
+    def _release_placement(self, placement: Placement, now_s: float) -> None:
+        job = self._jobs.get(placement.job)
+        if job is None:
+            return
+        task = job.tasks[placement.index]
+        if task.phase is not TaskPhase.PLACED:
+            return
+        view = self._registry.current(placement.agent, placement.incarnation)
+        over = job.cancelled or job.answer is not None
+        if over or view is None or not view.takes_work:
+            task_id = job.job.task_id(placement.index)
+            scheduler = self._context.scheduler
+            scheduler.task_returned(placement.agent, task_id)
+            task.phase = TaskPhase.ENDED
+            if not over:
+                self.enqueue(job, placement.index, now_s)
+            return
+        self._assign(job, placement, view)
+
+    def _assign(
+        self,
+        job: OpenJob,
+        placement: Placement,
+        view: AgentView,
+    ) -> None:
+        task = job.tasks[placement.index]
+        task.phase = TaskPhase.ASSIGNED
+        task.may_have_run = True
+        ref = TaskRef(job.job, placement.index, placement.start)
+        view.tasks[ref.task_id] = ref
+        self._assignments.setdefault(view.name, []).append(
+            Assignment(
+                job.job,
+                placement.index,
+                placement.start,
+                job.kind.name,
+                job.document_version,
+                job.kind.timeout_s,
+                job.request.tasks[placement.index].input_json,
+            ),
+        )
+        self._context.effects.append(
+            Record(
+                EventKind.ASSIGNED,
+                job.job,
+                placement.index,
+                view.name,
+            ),
+        )
--- /dev/null
+++ b/packages/core/cactushead_core/entry/takeover.py
@@ -0,0 +1,111 @@
+"""Taking over the open jobs of the replicated state in a new term."""
+
+from ..agents.model import TaskRef
+from ..jobs.model import JobState
+from ..jobs.records import Placement
+from .admission import queued_task, reopen_job
+from .agents import AgentRegistry
+from .closing import JobCloser
+from .context import LeaderContext
+from .job import OpenJob, OpenTask, TaskPhase
+from .placing import TaskPlacer
+from .state import JobRecord
+
+
+class Takeover:
+    """Builds a new leader's open jobs from committed records.
+
+    Explanation:
+        A task whose agent is registered counts as assigned until the agent
+        reports. A task whose agent's incarnation is gone may have run, so
+        its job fails.
+    """
+
+    def __init__(
+        self,
+        context: LeaderContext,
+        registry: AgentRegistry,
+        closer: JobCloser,
+        placer: TaskPlacer,
+    ) -> None:
+        """Works on the parts of the new leader.
+
+        Args:
+            context: The leader's context.
+            registry: The registered agents.
+            closer: Ends jobs.
+            placer: Queues tasks.
+        """
+        self._context = context
+        self._registry = registry
+        self._closer = closer
+        self._placer = placer
+
+    def restore(self, record: JobRecord, now_s: float) -> OpenJob | None:
+        """Returns the open job of a record, or None for an ended one.
+
+        Args:
+            record: The committed record.
+            now_s: Monotonic clock.
+        """
+        self._note_stale(record)
+        if record.answer is not None:
+            self._closer.remember(record.request.job, now_s)
+            return None
+        return reopen_job(self._context, record, now_s)
+
+    def restore_tasks(
+        self,
+        job: OpenJob,
+        record: JobRecord,
+        now_s: float,
+    ) -> None:
+        """Queues the unplaced tasks of a job and books the placed ones.
+
+        Args:
+            job: The job that `restore` returned.
+            record: Its committed record.
+            now_s: Monotonic clock.
+        """
+        lost_at = ''
+        for index, task in enumerate(job.tasks):
+            placement = record.placements.get(index)
+            if placement is None:
+                self._placer.enqueue(job, index, now_s)
+            elif not self._restore_placement(job, task, placement):
+                lost_at = placement.agent
+        if lost_at:
+            error = f'a task may have run on lost {lost_at}'
+            self._closer.fail(job, error)
+
+    def _restore_placement(
+        self,
+        job: OpenJob,
+        task: OpenTask,
+        placement: Placement,
+    ) -> bool:
+        task.start = placement.start
+        task.agent = placement.agent
+        task.incarnation = placement.incarnation
+        task.may_have_run = True
+        view = self._registry.current(placement.agent, placement.incarnation)
+        if view is None:
+            task.phase = TaskPhase.ENDED
+            return False
+        task.phase = TaskPhase.ASSIGNED
+        ref = TaskRef(job.job, placement.index, placement.start)
+        view.tasks[ref.task_id] = ref
+        queued = queued_task(self._context, job, placement.index, 0)
+        self._context.scheduler.occupy(queued, view.name)
+        return True
+
+    def _note_stale(self, record: JobRecord) -> None:
+        answer = record.answer
+        if answer is not None and answer.state is JobState.COMPLETE:
+            return
+        for placement in record.placements.values():
+            view = self._registry.views.get(placement.agent)
+            if view is None or view.incarnation == placement.incarnation:
+                continue
+            ref = TaskRef(placement.job, placement.index, placement.start)
+            view.stale[ref.task_id] = ref
--- /dev/null
+++ b/packages/core/cactushead_core/entry/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the entry, with a cluster of reducers as fixture."""
--- a/packages/core/cactushead_core/jobs/records.py
+++ b/packages/core/cactushead_core/jobs/records.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass
 
-from ..agents.model import TaskOutcome
 from ..documents.model import ServiceDocument
 from ..messages.base import Message, wire_type
 from .model import JobAnswer, JobId, JobRequest
@@ -15,7 +14,7 @@
     Attributes:
         job: The job of the task.
         index: Index of the task in its job.
-        start: Number of this start, from 1.
+        start: Number of this placement of the task, from 1.
         agent: Name of the agent.
         incarnation: Incarnation of the agent.
     """
@@ -133,15 +132,3 @@
     """
 
     document: ServiceDocument
-
-
-@wire_type(88)
-@dataclass(frozen=True, slots=True)
-class TasksReturned(Message):
-    """Tasks that provably never started at their agents.
-
-    Attributes:
-        outcomes: Refusals; a later placement may name another agent.
-    """
-
-    outcomes: tuple[TaskOutcome, ...]
