Check documents and settings with all findings and their places

Documents are validated by pydantic. Settings are read by a small field reader instead, because an agent has no memory to spare for pydantic, and one way for all roles keeps the shared parts in one place.

Both read JSON strictly: duplicate keys and numbers that are not finite are marked while parsing, and only a marked text is walked for the places, so that a good text costs one pass of the C scanner.

--- /dev/null
+++ b/packages/core/cactushead_core/validation/strict_json.py
@@ -0,0 +1,153 @@
+"""JSON texts read strictly: RFC 8259 without duplicate keys."""
+
+import json
+import math
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from ..errors import Finding
+
+WHOLE_INPUT = '$'
+
+
+@dataclass(frozen=True, slots=True)
+class LoadedJson:
+    """A JSON text's value and what is wrong with the text.
+
+    Attributes:
+        content: The parsed value, None when the text doesn't parse.
+        findings: What is wrong, with places.
+        parsed: Whether the text has a value that can be checked further.
+    """
+
+    content: Any
+    findings: tuple[Finding, ...]
+    parsed: bool
+
+
+def load_json(body: bytes) -> LoadedJson:
+    """Parses a JSON text and reports what its value can't show.
+
+    Explanation:
+        Duplicate keys and numbers that are not finite are found while
+        parsing, but the parser doesn't tell where. So it leaves marks, and
+        only a text with marks is walked for their places.
+
+    Examples:
+        >>> load_json(b'{"a": [1]}').content
+        {'a': [1]}
+        >>> for found in load_json(b'{"a": [1e999], "a": 2}').findings:
+        ...     print(found)
+        a: duplicate key
+        >>> print(load_json(b'{"a" 1}').findings[0])
+        line 1 column 6: expecting ':' delimiter
+
+    Args:
+        body: The text in UTF-8.
+
+    Returns:
+        The value and the findings.
+    """
+    try:
+        text = body.decode('utf-8')
+    except UnicodeDecodeError as error:
+        return _unparsed(f'byte {error.start}', 'invalid UTF-8')
+    try:
+        return _parse(text)
+    except json.JSONDecodeError as error:
+        place = f'line {error.lineno} column {error.colno}'
+        return _unparsed(place, error.msg[:1].lower() + error.msg[1:])
+    except RecursionError:
+        return _unparsed(WHOLE_INPUT, 'nested too deeply')
+    except ValueError:
+        return _unparsed(WHOLE_INPUT, 'integer with too many digits')
+
+
+def child_place(parent: str, name: str) -> str:
+    """Returns the place of a member of an object.
+
+    Examples:
+        >>> child_place('limits', 'queue_tasks')
+        'limits.queue_tasks'
+        >>> child_place('', 'limits')
+        'limits'
+    """
+    return f'{parent}.{name}' if parent else name
+
+
+def item_place(parent: str, index: int) -> str:
+    """Returns the place of an item of an array.
+
+    Examples:
+        >>> item_place('tasks', 2)
+        'tasks[2]'
+    """
+    return f'{parent}[{index}]'
+
+
+class _RepeatedKeys(dict):  # noqa: WPS600
+    """An object of a text that repeats keys."""
+
+    __slots__ = ('repeated',)
+
+    def __init__(self, pairs: list[tuple[str, Any]]) -> None:
+        super().__init__(pairs)
+        counts = Counter(name for name, _ in pairs)
+        self.repeated = [name for name, count in counts.items() if count > 1]
+
+
+class _Marks:
+    """Hooks of the parser that notice what its value would hide."""
+
+    __slots__ = ('found',)
+
+    def __init__(self) -> None:
+        self.found = False
+
+    def make_object(self, pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        members = dict(pairs)
+        if len(members) == len(pairs):
+            return members
+        self.found = True
+        return _RepeatedKeys(pairs)
+
+    def make_float(self, text: str) -> float:
+        number = float(text)
+        if not math.isfinite(number):
+            self.found = True
+        return number
+
+
+def _parse(text: str) -> LoadedJson:
+    marks = _Marks()
+    content = json.loads(
+        text,
+        object_pairs_hook=marks.make_object,
+        parse_float=marks.make_float,
+        parse_constant=marks.make_float,
+    )
+    findings = tuple(_walk(content, '')) if marks.found else ()
+    return LoadedJson(content, findings, parsed=True)
+
+
+def _unparsed(place: str, finding: str) -> LoadedJson:
+    return LoadedJson(None, (Finding(place, finding),), parsed=False)
+
+
+def _walk(content: Any, place: str) -> Iterator[Finding]:
+    if isinstance(content, dict):
+        yield from _walk_object(content, place)
+    elif isinstance(content, list):
+        for index, element in enumerate(content):
+            yield from _walk(element, item_place(place, index))
+    elif isinstance(content, float) and not math.isfinite(content):
+        yield Finding(place or WHOLE_INPUT, f'must be finite, got {content}')
+
+
+def _walk_object(members: dict[str, Any], place: str) -> Iterator[Finding]:
+    for name in getattr(members, 'repeated', ()):
+        yield Finding(child_place(place, name), 'duplicate key')
+    for name, member in members.items():
+        yield from _walk(member, child_place(place, name))
--- /dev/null
+++ b/packages/node/cactushead_node/settings/parse.py
@@ -0,0 +1,262 @@
+"""Reading and checking of settings.
+
+Explanation:
+    Settings are checked by `FieldReader` and not by pydantic, which checks
+    documents and requests. Importing pydantic takes several megabytes, and
+    an agent has 32 in all. One way for all roles keeps the parts that they
+    share (voters, timing, log) in one place.
+"""
+
+import ipaddress
+
+from cactushead_core.config import Bounds, Timing
+from cactushead_core.documents.model import Label
+from cactushead_core.errors import SettingsError
+from cactushead_core.validation import FieldReader, load_json
+
+from .model import (
+    Address,
+    AgentSettings,
+    EntrySettings,
+    LocalSettings,
+    LogForm,
+    LogSettings,
+    Role,
+    UpstreamSettings,
+    VoterAddress,
+)
+
+HIGHEST_PORT = 65535
+HIGHEST_SLOTS = 10_000
+HIGHEST_CONNECTIONS = 100_000
+HIGHEST_CORES = 100_000.0
+HIGHEST_MEMORY_MB = 1e9
+LONGEST_DURATION_S = 86_400.0
+HIGHEST_BOUND = 1e9
+HIGHEST_VOTERS = 7
+LOG_LEVELS = ('debug', 'info', 'warning', 'error')
+
+_DEFAULT_UPSTREAM = UpstreamSettings('', 0)
+_DEFAULT_LOCAL = LocalSettings()
+
+Settings = EntrySettings | AgentSettings | LocalSettings
+
+
+def parse_settings(body: bytes, role: Role) -> Settings:
+    """Checks and returns the settings of a process.
+
+    Examples:
+        >>> parse_settings(b'{"slots": 2}', Role.LOCAL).slots
+        2
+        >>> parse_settings(b'{"slots": 0, "port": 1}', Role.LOCAL)
+        Traceback (most recent call last):
+          ...
+        cactushead_core.errors.SettingsError: settings: slots: must be from 1 \
+to 10000, got 0; port: unknown field
+
+    Args:
+        body: The settings' JSON text.
+        role: What the process is started as.
+
+    Returns:
+        `EntrySettings`, `AgentSettings` or `LocalSettings`, after the role.
+
+    Raises:
+        SettingsError: The settings are not valid; holds all findings.
+    """
+    loaded = load_json(body)
+    findings = list(loaded.findings)
+    if not loaded.parsed:
+        raise SettingsError('settings', findings)
+    reader = FieldReader(loaded.content, '', findings)
+    settings = _READERS[Role(role)](reader)
+    reader.close()
+    if findings:
+        raise SettingsError('settings', findings)
+    return settings
+
+
+def _read_entry(reader: FieldReader) -> EntrySettings:
+    settings = EntrySettings(
+        name=reader.text('name'),
+        cell=reader.text('cell'),
+        data_centre=reader.text('data_centre'),
+        callers=_read_address(reader, 'callers'),
+        peers=_read_address(reader, 'peers'),
+        voters=_read_voters(reader),
+        data_dir=reader.text('data_dir', ''),
+        synced_admission=reader.flag('synced_admission', default=False),
+        timing=_read_timing(reader),
+        bounds=reader.positive_fields('bounds', Bounds, HIGHEST_BOUND),
+        log=_read_log(reader),
+    )
+    _check_voter(reader, settings)
+    if settings.callers == settings.peers and settings.callers.host:
+        reader.add('peers.port', 'is the same address as callers')
+    return settings
+
+
+def _read_agent(reader: FieldReader) -> AgentSettings:
+    return AgentSettings(
+        name=reader.text('name'),
+        cell=reader.text('cell'),
+        data_centre=reader.text('data_centre'),
+        rack=reader.text('rack', ''),
+        upstream=_read_upstream(reader.section('upstream')),
+        voters=_read_voters(reader),
+        timing=_read_timing(reader),
+        bounds=reader.positive_fields('bounds', Bounds, HIGHEST_BOUND),
+        log=_read_log(reader),
+    )
+
+
+def _read_local(reader: FieldReader) -> LocalSettings:
+    callers = _DEFAULT_LOCAL.callers
+    if reader.has('callers'):
+        callers = _read_address(reader, 'callers')
+    return LocalSettings(
+        callers=callers,
+        data_dir=reader.text('data_dir', _DEFAULT_LOCAL.data_dir),
+        slots=_read_slots(reader),
+        timing=_read_timing(reader),
+        bounds=reader.positive_fields('bounds', Bounds, HIGHEST_BOUND),
+        log=_read_log(reader),
+    )
+
+
+def _read_upstream(reader: FieldReader) -> UpstreamSettings:
+    default = _DEFAULT_UPSTREAM
+    labels = sorted(reader.texts_by_name('labels').items())
+    settings = UpstreamSettings(
+        host=_read_host(reader),
+        port=_read_port(reader),
+        run_path=_read_path(reader, 'run_path', default.run_path),
+        health_path=_read_path(reader, 'health_path', default.health_path),
+        labels=tuple(Label(name, text) for name, text in labels),
+        slots=_read_slots(reader),
+        connections=reader.integer(
+            'connections',
+            lowest=1,
+            highest=HIGHEST_CONNECTIONS,
+            default=default.connections,
+        ),
+        cores=reader.number(
+            'cores',
+            highest=HIGHEST_CORES,
+            default=default.cores,
+        ),
+        memory_mb=reader.number(
+            'memory_mb',
+            highest=HIGHEST_MEMORY_MB,
+            default=default.memory_mb,
+        ),
+    )
+    reader.close()
+    return settings
+
+
+def _read_voters(reader: FieldReader) -> tuple[VoterAddress, ...]:
+    sections = reader.sections('voters', highest=HIGHEST_VOTERS)
+    voters = tuple(_read_voter(section) for section in sections)
+    for name in _repeated([voter.name for voter in voters]):
+        reader.add('voters', f'lists {name!r:.80} twice')
+    addresses = [f'{voter.host} port {voter.port}' for voter in voters]
+    for address in _repeated(addresses):
+        reader.add('voters', f'lists the address {address} twice')
+    return voters
+
+
+def _read_voter(reader: FieldReader) -> VoterAddress:
+    voter = VoterAddress(
+        name=reader.text('name'),
+        host=_read_host(reader),
+        port=_read_port(reader),
+    )
+    reader.close()
+    return voter
+
+
+def _read_address(reader: FieldReader, name: str) -> Address:
+    section = reader.section(name)
+    address = Address(host=_read_host(section), port=_read_port(section))
+    section.close()
+    return address
+
+
+def _read_host(reader: FieldReader) -> str:
+    host = reader.text('host')
+    if not host:
+        return ''
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        reader.add('host', f'must be an IP number, got {host!r:.80}')
+    return host
+
+
+def _read_port(reader: FieldReader) -> int:
+    return reader.integer('port', lowest=1, highest=HIGHEST_PORT)
+
+
+def _read_path(reader: FieldReader, name: str, default: str) -> str:
+    path = reader.text(name, default)
+    if path and not _is_path(path):
+        rule = 'must be an ASCII path that begins with /'
+        reader.add(name, f'{rule}, got {path!r:.80}')
+    return path
+
+
+def _read_slots(reader: FieldReader) -> int:
+    return reader.integer(
+        'slots',
+        lowest=1,
+        highest=HIGHEST_SLOTS,
+        default=_DEFAULT_UPSTREAM.slots,
+    )
+
+
+def _read_timing(reader: FieldReader) -> Timing:
+    timing = reader.positive_fields('timing', Timing, LONGEST_DURATION_S)
+    if timing.drift >= 1:
+        reader.add('timing.drift', f'must be below 1, got {timing.drift}')
+    if timing.heartbeat_s >= timing.lease_s:
+        rule = f'must be below lease_s, which is {timing.lease_s}'
+        reader.add('timing.heartbeat_s', f'{rule}, got {timing.heartbeat_s}')
+    return timing
+
+
+def _read_log(reader: FieldReader) -> LogSettings:
+    section = reader.section('log', required=False)
+    forms = tuple(form.value for form in LogForm)
+    log = LogSettings(
+        level=section.choice('level', LOG_LEVELS, 'info'),
+        form=LogForm(section.choice('format', forms, LogForm.TEXT.value)),
+    )
+    section.close()
+    return log
+
+
+def _check_voter(reader: FieldReader, settings: EntrySettings) -> None:
+    listed = settings.name in {voter.name for voter in settings.voters}
+    known = bool(settings.name and settings.voters)
+    if settings.is_voter and known and not listed:
+        finding = f'the entry has a data_dir, but {settings.name!r:.80}'
+        reader.add('voters', f'{finding} is not among the voters')
+    if listed and not settings.is_voter:
+        reader.add('data_dir', 'missing, but the entry is among the voters')
+
+
+def _repeated(texts: list[str]) -> list[str]:
+    return sorted({text for text in texts if text and texts.count(text) > 1})
+
+
+def _is_path(path: str) -> bool:
+    printable = path.isascii() and path.isprintable()
+    return printable and path.startswith('/') and ' ' not in path
+
+
+_READERS = {
+    Role.ENTRY: _read_entry,
+    Role.AGENT: _read_agent,
+    Role.LOCAL: _read_local,
+}
