Serve callers and operators over HTTP

Each request is read up to 4 MiB, checked with all findings, passed to the reducer through the port and answered from its typed response.

A server may queue only some chunks of a body and then blocks; a reply to a body refused half read would wait for itself. So the rest of such a body is taken and dropped while the reply is sent.

--- a/packages/core/cactushead_core/documents/schema.py
+++ b/packages/core/cactushead_core/documents/schema.py
@@ -7,6 +7,7 @@
 
 import hashlib
 import json
+import re
 from typing import Annotated, Any, Literal, Self
 
 from pydantic import Field, model_validator
@@ -125,6 +126,16 @@
     return _to_model(parsed, _digest(loaded.content))
 
 
+def is_name(text: str) -> bool:
+    """Whether a text can name a service.
+
+    Examples:
+        >>> is_name('sled-desk'), is_name('sled desk')
+        (True, False)
+    """
+    return re.fullmatch(NAME_PATTERN, text) is not None
+
+
 def document_json(document: ServiceDocument) -> dict[str, Any]:
     """Returns the JSON form of a document, with all defaults filled in.
 
--- a/packages/node/cactushead_node/callers/__init__.py
+++ b/packages/node/cactushead_node/callers/__init__.py
@@ -1,1 +1,14 @@
 """HTTP interface for callers and operators."""
+
+from .app import CallerApp, make_app
+from .port import MakeEvent, RequestPort, StatusPort
+from .server import serve_callers
+
+__all__ = [
+    'CallerApp',
+    'MakeEvent',
+    'RequestPort',
+    'StatusPort',
+    'make_app',
+    'serve_callers',
+]
--- /dev/null
+++ b/packages/node/cactushead_node/callers/app.py
@@ -0,0 +1,257 @@
+"""The ASGI application that serves callers and operators."""
+
+import logging
+from collections.abc import Awaitable, Callable
+from functools import partial
+from http import HTTPStatus
+
+from cactushead_core.documents.schema import is_name, parse_document
+from cactushead_core.effects import Response
+from cactushead_core.errors import Finding, InvalidInputError
+from cactushead_core.events import (
+    DocumentsQueried,
+    DocumentSubmitted,
+    JobCancelRequested,
+    JobQueried,
+    JobSubmitted,
+)
+from cactushead_core.jobs import JobId, Refusal, RefusalReason
+
+from .exchange import (
+    HIGHEST_BODY_BYTES,
+    BodyTooLargeError,
+    CallerGoneError,
+    Exchange,
+    Receive,
+    Scope,
+    SendMessage,
+)
+from .port import MakeEvent, RequestPort, StatusPort
+from .reply import (
+    Header,
+    Reply,
+    error_reply,
+    json_reply,
+    refusal_reply,
+    response_reply,
+    single_document_reply,
+)
+from .routes import Resource, Route, find_route
+from .schema import check_key, is_key, parse_job, parse_timeline_query
+
+LOGGER = logging.getLogger('cactushead.callers')
+JSON_LINES_TYPE = 'application/x-ndjson'
+METRICS_TEXT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+
+_Handler = Callable[[Exchange, Route], Awaitable[Reply]]
+
+
+class CallerApp:
+    """Answers HTTP requests through the process's reducer."""
+
+    def __init__(self, requests: RequestPort, status: StatusPort) -> None:
+        """Prepares the handlers of all paths.
+
+        Args:
+            requests: Passes requests to the reducer.
+            status: Shows the process's state, time line and metrics.
+        """
+        self._requests = requests
+        self._status = status
+        self._handlers: dict[Resource, dict[str, _Handler]] = {
+            Resource.JOBS: {'POST': self._submit_job},
+            Resource.JOB: {'GET': self._query_job, 'DELETE': self._cancel_job},
+            Resource.DOCUMENTS: {'GET': self._list_documents},
+            Resource.DOCUMENT: {
+                'GET': self._show_document,
+                'PUT': self._submit_document,
+            },
+            Resource.TIMELINE: {'GET': self._show_timeline},
+            Resource.METRICS: {'GET': self._show_metrics},
+            Resource.HEALTH: {'GET': self._show_health},
+            Resource.READINESS: {'GET': self._show_readiness},
+        }
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: SendMessage,
+    ) -> None:
+        """Serves one ASGI scope.
+
+        Args:
+            scope: The scope.
+            receive: Gives the scope's next message.
+            send: Takes the next message to the server.
+        """
+        match scope['type']:
+            case 'http':
+                await self._serve(Exchange(scope, receive, send))
+            case 'lifespan':
+                await _serve_lifespan(receive, send)
+            case 'websocket':
+                await send({'type': 'websocket.close'})
+
+    async def _serve(self, exchange: Exchange) -> None:
+        try:
+            reply = await self._reply(exchange)
+        except CallerGoneError:
+            return
+        except Exception:
+            LOGGER.exception(
+                '%s %s failed',
+                exchange.method,
+                exchange.raw_path,
+            )
+            reply = error_reply(
+                HTTPStatus.INTERNAL_SERVER_ERROR,
+                'internal error',
+                not_run=False,
+            )
+        await exchange.send(reply)
+
+    async def _reply(self, exchange: Exchange) -> Reply:
+        try:
+            return await self._dispatch(exchange)
+        except InvalidInputError as error:
+            return _refuse(RefusalReason.INVALID, *error.findings)
+        except BodyTooLargeError:
+            finding = f'must be up to {HIGHEST_BODY_BYTES} bytes'
+            return _refuse(RefusalReason.TOO_LARGE, Finding('$', finding))
+
+    async def _dispatch(self, exchange: Exchange) -> Reply:
+        route = find_route(exchange.raw_path)
+        if route is None:
+            return error_reply(
+                HTTPStatus.NOT_FOUND,
+                'unknown path',
+                not_run=True,
+            )
+        methods = self._handlers[route.resource]
+        handler = methods.get(exchange.method)
+        if handler is None:
+            return error_reply(
+                HTTPStatus.METHOD_NOT_ALLOWED,
+                f'method {exchange.method:.20} is not allowed',
+                not_run=True,
+                headers=(Header('allow', ', '.join(methods)),),
+            )
+        await exchange.read_body()
+        return await handler(exchange, route)
+
+    async def _submit_job(self, exchange: Exchange, route: Route) -> Reply:
+        if not is_name(route.service):
+            return _refuse(RefusalReason.UNKNOWN_SERVICE)
+        key = check_key(exchange.header_texts('idempotency-key'))
+        request = parse_job(exchange.body, JobId(route.service, key))
+        wait = not _prefers_async(exchange.header_texts('prefer'))
+        return response_reply(
+            await self._ask(
+                exchange,
+                partial(JobSubmitted, request=request, wait=wait),
+            ),
+        )
+
+    async def _query_job(self, exchange: Exchange, route: Route) -> Reply:
+        return await self._ask_about_job(exchange, route, JobQueried)
+
+    async def _cancel_job(self, exchange: Exchange, route: Route) -> Reply:
+        return await self._ask_about_job(exchange, route, JobCancelRequested)
+
+    async def _ask_about_job(
+        self,
+        exchange: Exchange,
+        route: Route,
+        event_type: type[JobQueried | JobCancelRequested],
+    ) -> Reply:
+        if not is_name(route.service):
+            return _refuse(RefusalReason.UNKNOWN_SERVICE)
+        if not is_key(route.key):
+            return _refuse(RefusalReason.UNKNOWN_JOB)
+        job = JobId(route.service, route.key)
+        return response_reply(
+            await self._ask(exchange, partial(event_type, job=job)),
+        )
+
+    async def _submit_document(self, exchange: Exchange, route: Route) -> Reply:
+        document = parse_document(exchange.body, route.service)
+        return response_reply(
+            await self._ask(
+                exchange,
+                partial(DocumentSubmitted, document=document),
+            ),
+        )
+
+    async def _show_document(self, exchange: Exchange, route: Route) -> Reply:
+        if not is_name(route.service):
+            return _refuse(RefusalReason.UNKNOWN_SERVICE)
+        make_event = partial(DocumentsQueried, service=route.service)
+        return single_document_reply(await self._ask(exchange, make_event))
+
+    async def _list_documents(self, exchange: Exchange, route: Route) -> Reply:
+        make_event = partial(DocumentsQueried, service='')
+        return response_reply(await self._ask(exchange, make_event))
+
+    async def _show_timeline(self, exchange: Exchange, route: Route) -> Reply:
+        filters = parse_timeline_query(exchange.query)
+        lines = await exchange.until_gone(
+            partial(self._status.timeline_json, filters),
+        )
+        return Reply(HTTPStatus.OK, lines, content_type=JSON_LINES_TYPE)
+
+    async def _show_metrics(self, exchange: Exchange, route: Route) -> Reply:
+        accepted = ','.join(exchange.header_texts('accept'))
+        if 'text/plain' in accepted:
+            text = self._status.metrics_text()
+            return Reply(HTTPStatus.OK, text, content_type=METRICS_TEXT_TYPE)
+        return Reply(HTTPStatus.OK, self._status.metrics_json())
+
+    async def _show_health(self, exchange: Exchange, route: Route) -> Reply:
+        return json_reply({'healthy': True})
+
+    async def _show_readiness(self, exchange: Exchange, route: Route) -> Reply:
+        draining = self._status.draining()
+        ready = self._status.ready() and not draining
+        return json_reply(
+            {'ready': ready, 'draining': draining},
+            HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE,
+        )
+
+    async def _ask(
+        self,
+        exchange: Exchange,
+        make_event: MakeEvent,
+    ) -> Response:
+        return await exchange.until_gone(
+            partial(self._requests.request, make_event),
+        )
+
+
+def make_app(requests: RequestPort, status: StatusPort) -> CallerApp:
+    """Returns the application for an ASGI server.
+
+    Args:
+        requests: Passes requests to the reducer.
+        status: Shows the process's state, time line and metrics.
+    """
+    return CallerApp(requests, status)
+
+
+async def _serve_lifespan(receive: Receive, send: SendMessage) -> None:
+    stage = ''
+    while stage != 'shutdown':
+        message = await receive()
+        stage = message['type'].removeprefix('lifespan.')
+        await send({'type': f'lifespan.{stage}.complete'})
+
+
+def _refuse(reason: RefusalReason, *findings: Finding) -> Reply:
+    return refusal_reply(Refusal(reason, findings=findings))
+
+
+def _prefers_async(texts: list[str]) -> bool:
+    preferences = ','.join(texts).lower().split(',')
+    return 'respond-async' in {
+        preference.partition(';')[0].strip() for preference in preferences
+    }
--- /dev/null
+++ b/packages/node/cactushead_node/callers/exchange.py
@@ -0,0 +1,168 @@
+"""One HTTP exchange over the ASGI interface."""
+
+from collections.abc import Awaitable, Callable, MutableMapping
+from http import HTTPStatus
+from typing import Any, TypeVar
+
+import trio
+from cactushead_core.errors import CactusheadError
+
+from .reply import Reply
+
+HIGHEST_BODY_BYTES = 4 * 1024 * 1024
+
+# ASGI describes scopes and messages as mappings.
+Scope = MutableMapping[str, Any]
+AsgiMessage = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[AsgiMessage]]
+SendMessage = Callable[[AsgiMessage], Awaitable[None]]
+
+_Outcome = TypeVar('_Outcome')
+
+
+class BodyTooLargeError(CactusheadError):
+    """The body of a request is larger than the limit."""
+
+
+class CallerGoneError(CactusheadError):
+    """The caller hung up before it had its reply."""
+
+
+class Exchange:
+    """Reads one request and writes its reply."""
+
+    def __init__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: SendMessage,
+    ) -> None:
+        """Starts an exchange.
+
+        Args:
+            scope: The ASGI scope of type `http`.
+            receive: Gives the next message of the request.
+            send: Takes the next message of the reply.
+        """
+        self.method = str(scope['method'])
+        self.raw_path = _raw_path(scope)
+        self.query = scope.get('query_string', b'').decode('ascii', 'replace')
+        self.body = b''
+        self._headers = scope.get('headers', ())
+        self._receive = receive
+        self._send = send
+        self._body_read = False
+
+    def header_texts(self, name: str) -> list[str]:
+        """Returns all values of a header, in order.
+
+        Args:
+            name: Name of the header, in lower case.
+        """
+        wanted = name.encode('ascii')
+        return [
+            text.decode('latin-1')
+            for header, text in self._headers
+            if header.lower() == wanted
+        ]
+
+    async def read_body(self) -> None:
+        """Reads the body into the attribute `body`.
+
+        Raises:
+            BodyTooLargeError: It is larger than the limit; the rest of it is
+                not read.
+            CallerGoneError: The caller hung up.
+        """
+        self._check_length()
+        chunks: list[bytes] = []
+        size_bytes = 0
+        while not self._body_read:
+            message = await self._receive()
+            if message['type'] == 'http.disconnect':
+                raise CallerGoneError('caller hung up in its request')
+            chunk = message.get('body', b'')
+            size_bytes += len(chunk)
+            if size_bytes > HIGHEST_BODY_BYTES:
+                raise BodyTooLargeError(f'body has over {size_bytes} bytes')
+            chunks.append(chunk)
+            self._body_read = not message.get('more_body', False)
+        self.body = b''.join(chunks)
+
+    async def until_gone(
+        self,
+        wait: Callable[[], Awaitable[_Outcome]],
+    ) -> _Outcome:
+        """Waits for something while the caller stays.
+
+        Explanation:
+            The body must have been read, since further messages are dropped.
+
+        Args:
+            wait: What to wait for; it is cancelled when the caller hangs up.
+
+        Raises:
+            CallerGoneError: The caller hung up.
+        """
+        outcomes: list[_Outcome] = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cancel_when_gone, nursery.cancel_scope)
+            outcomes.append(await wait())
+            nursery.cancel_scope.cancel()
+        if not outcomes:
+            raise CallerGoneError('caller hung up while it waited')
+        return outcomes[0]
+
+    async def send(self, reply: Reply) -> None:
+        """Sends the reply.
+
+        Explanation:
+            The server queues only some chunks of a body, and blocks when
+            nobody takes them. So the rest of a body that was refused half
+            read is taken and dropped until the reply is out.
+        """
+        if self._body_read:
+            await self._send_reply(reply)
+            return
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._drop_messages)
+            await self._send_reply(reply)
+            nursery.cancel_scope.cancel()
+
+    async def _send_reply(self, reply: Reply) -> None:
+        headers = [
+            (b'content-type', reply.content_type.encode('ascii')),
+            (b'content-length', str(len(reply.body)).encode('ascii')),
+        ]
+        headers.extend(
+            (header.name.encode('ascii'), header.text.encode('ascii'))
+            for header in reply.headers
+        )
+        await self._send(
+            {
+                'type': 'http.response.start',
+                'status': int(HTTPStatus(reply.status)),
+                'headers': headers,
+            },
+        )
+        await self._send({'type': 'http.response.body', 'body': reply.body})
+
+    def _check_length(self) -> None:
+        for text in self.header_texts('content-length'):
+            if text.isdecimal() and int(text) > HIGHEST_BODY_BYTES:
+                raise BodyTooLargeError(f'body has {text} bytes')
+
+    async def _cancel_when_gone(self, scope: trio.CancelScope) -> None:
+        await self._drop_messages()
+        scope.cancel()
+
+    async def _drop_messages(self) -> None:
+        message_type = ''
+        while message_type != 'http.disconnect':
+            message = await self._receive()
+            message_type = message['type']
+
+
+def _raw_path(scope: Scope) -> str:
+    raw_path = scope.get('raw_path') or scope['path'].encode('utf-8')
+    return raw_path.decode('latin-1')
--- /dev/null
+++ b/packages/node/cactushead_node/callers/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the HTTP interface."""
