Add the voter's durable files

One record in the log file holds the entries of one sync, with a salted CRC-32 over length and payload. Weighed: one record per entry, the usual form; but several unsynced records may reach the disk out of order, and a bad record with good ones behind it is refused as damage, so an ordinary power loss could look like damage. With a record per sync only the last can be torn. A record replaces the entries from its first index on, so a conflict is cut by appending, without truncating the file in place.

A flipped byte within the very last record can't be told from a torn write and is cut.

--- /dev/null
+++ b/packages/node/cactushead_node/storage/delayed.py
@@ -0,0 +1,38 @@
+"""A storage whose syncs take longer."""
+
+import time
+from collections.abc import Sequence
+
+from cactushead_core.effects import Effect
+from cactushead_core.replication import StoredLog
+
+from .storage import Storage
+
+
+class DelayedStorage(Storage):
+    """Adds a delay to each batch of writes of another storage."""
+
+    def __init__(self, inner: Storage, sync_delay_s: float) -> None:
+        """Wraps a storage.
+
+        Args:
+            inner: The storage that keeps the state.
+            sync_delay_s: How much longer each batch takes.
+        """
+        self._inner = inner
+        self._sync_delay_s = sync_delay_s
+
+    @property
+    def incarnation(self) -> str:
+        """Identity of the disk, made when it was empty."""
+        return self._inner.incarnation
+
+    def _load(self) -> StoredLog:
+        return self._inner.load()
+
+    def _perform(self, effects: Sequence[Effect]) -> None:
+        self._inner._perform(effects)  # noqa: WPS437
+        time.sleep(self._sync_delay_s)
+
+    def _close(self) -> None:
+        self._inner.close()
--- /dev/null
+++ b/packages/node/cactushead_node/storage/files.py
@@ -0,0 +1,196 @@
+"""A voter's durable state in one data folder."""
+
+import fcntl
+import os
+import uuid
+from collections.abc import Sequence
+from pathlib import Path
+
+from cactushead_core.effects import (
+    AppendLog,
+    Effect,
+    LogEntry,
+    SaveSnapshot,
+    SaveVote,
+)
+from cactushead_core.errors import StorageError
+from cactushead_core.replication import StoredLog
+
+from .delayed import DelayedStorage
+from .log_file import LogFile, entries_behind
+from .records import make_salt
+from .replaced import FILE_MODE, read_replaced, write_replaced
+from .storage import Storage
+
+IDENTITY_SALT = 0
+LOCK_NAME = 'lock'
+IDENTITY_NAME = 'identity'
+LOG_NAME = 'log'
+VOTE_NAME = 'vote'
+SNAPSHOT_NAME = 'snapshot'
+
+
+class StorageInUseError(StorageError):
+    """Another process has the data folder open."""
+
+
+class FileStorage(Storage):
+    """Files in a data folder, locked against other processes."""
+
+    def __init__(self, folder: Path) -> None:
+        """Opens the folder; makes it and its identity when it is empty.
+
+        Args:
+            folder: The data folder.
+
+        Raises:
+            StorageInUseError: Another process has the folder open.
+            StorageError: The folder can't be read or is damaged.
+        """
+        self._folder = folder
+        try:
+            self._open()
+        except OSError as error:
+            raise StorageError(f'data folder {folder}: {error}') from error
+
+    @property
+    def incarnation(self) -> str:
+        """Identity of the disk, made when it was empty."""
+        return self._incarnation
+
+    def _open(self) -> None:
+        self._folder.mkdir(parents=True, exist_ok=True)
+        self._lock = _lock_folder(self._folder)
+        try:
+            self._open_files()
+        except BaseException:
+            os.close(self._lock)
+            raise
+
+    def _open_files(self) -> None:
+        self._incarnation = _read_identity(self._folder)
+        self._salt = make_salt(self._incarnation)
+        self._log = LogFile(self._folder / LOG_NAME, self._salt)
+
+    def _load(self) -> StoredLog:
+        vote = self._read(VOTE_NAME) or [0, '']
+        snapshot = self._read(SNAPSHOT_NAME) or [0, 0, b'', b'']
+        entries = self._log.entries
+        if entries and snapshot[1]:
+            entries = entries_behind(entries, snapshot[0], snapshot[1])
+        if entries and entries[0].index != snapshot[1] + 1:
+            raise StorageError(
+                f'{self._folder}: log starts at {entries[0].index}, but the'
+                f' snapshot ends at {snapshot[1]}',
+            )
+        return StoredLog(*vote, *snapshot, entries=tuple(entries))
+
+    def _perform(self, effects: Sequence[Effect]) -> None:
+        try:
+            self._write(effects)
+        except OSError as error:
+            raise StorageError(f'data folder {self._folder}: {error}') from (
+                error
+            )
+
+    def _write(self, effects: Sequence[Effect]) -> None:
+        batch: list[LogEntry] = []
+        for effect in effects:
+            if isinstance(effect, AppendLog):
+                batch = merge_appends(batch, effect.entries)
+                continue
+            self._flush(batch)
+            batch = []
+            self._save(effect)
+        self._flush(batch)
+
+    def _flush(self, batch: list[LogEntry]) -> None:
+        if batch:
+            self._log.append(batch)
+
+    def _save(self, effect: Effect) -> None:
+        if isinstance(effect, SaveVote):
+            fields: list[object] = [effect.term, effect.voted_for]
+            write_replaced(self._folder / VOTE_NAME, fields, self._salt)
+        elif isinstance(effect, SaveSnapshot):
+            self._save_snapshot(effect)
+
+    def _save_snapshot(self, effect: SaveSnapshot) -> None:
+        fields: list[object] = [
+            effect.term,
+            effect.index,
+            effect.members,
+            effect.state,
+        ]
+        write_replaced(self._folder / SNAPSHOT_NAME, fields, self._salt)
+        self._log.drop_prefix(effect.term, effect.index)
+
+    def _read(self, name: str) -> list[object]:
+        return read_replaced(self._folder / name, self._salt)
+
+    def _close(self) -> None:
+        self._log.close()
+        os.close(self._lock)
+
+
+def open_storage(folder: Path, sync_delay_s: float = 0) -> Storage:
+    """Opens a data folder.
+
+    Args:
+        folder: The data folder; it is made when it doesn't exist.
+        sync_delay_s: Time that each batch of writes takes longer, for
+            trials of slower disks.
+
+    Returns:
+        The storage.
+
+    Raises:
+        StorageError: The folder can't be read, is damaged or in use.
+    """
+    storage = FileStorage(folder)
+    if sync_delay_s > 0:
+        return DelayedStorage(storage, sync_delay_s)
+    return storage
+
+
+def merge_appends(
+    batch: list[LogEntry],
+    entries: Sequence[LogEntry],
+) -> list[LogEntry]:
+    """Returns one batch for two appends that follow each other.
+
+    Args:
+        batch: Entries that are not written yet.
+        entries: Entries that replace the batch from their first index on.
+
+    Returns:
+        The batch to write.
+    """
+    if not batch or entries[0].index <= batch[0].index:
+        return list(entries)
+    return [*batch[: entries[0].index - batch[0].index], *entries]
+
+
+def _lock_folder(folder: Path) -> int:
+    descriptor = os.open(folder / LOCK_NAME, os.O_RDWR | os.O_CREAT, FILE_MODE)
+    try:
+        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError as error:
+        os.close(descriptor)
+        raise StorageInUseError(
+            f'data folder {folder} is in use by another process',
+        ) from error
+    return descriptor
+
+
+def _read_identity(folder: Path) -> str:
+    path = folder / IDENTITY_NAME
+    fields = read_replaced(path, IDENTITY_SALT)
+    if fields:
+        return str(fields[0])
+    for name in (LOG_NAME, VOTE_NAME, SNAPSHOT_NAME):
+        if (folder / name).exists():
+            raise StorageError(f'{folder} has a {name} file but no identity')
+    incarnation = uuid.uuid4().hex
+    write_replaced(path, [incarnation], IDENTITY_SALT)
+    return incarnation
