Add links, the runtime loop, the upstream client and the daemon

Links are web sockets without compression. One link per pair of voters: the voter whose name sorts first dials, so half the sockets and pings of dialling both ways, and no second order of messages.

An event gets its time when the reducer takes it, not when it arrives, so a process that was frozen with events waiting doesn't decide by an old clock. StartRun carries start_by_s, which the client checks right before httpcore writes the first byte (its trace hook); a late start ends as refused, which is a proof that nothing started. Ruled out: telling by the type of httpcore's error, since a write error is swallowed and comes back as a read error.

--- a/packages/core/cactushead_core/effects.py
+++ b/packages/core/cactushead_core/effects.py
@@ -1,5 +1,6 @@
 """Effects that a reducer asks the shell to perform, in order."""
 
+import math
 from dataclasses import dataclass, field
 
 from .agents.model import Assignment
@@ -133,9 +134,16 @@
 
 @dataclass(frozen=True, slots=True)
 class StartRun(Effect):
-    """Sends a task to the upstream; gives `RunEnded`."""
+    """Sends a task to the upstream; gives `RunEnded`.
+
+    Attributes:
+        assignment: The task.
+        start_by_s: Monotonic time after which the request may not be
+            written; the run then ends as refused.
+    """
 
     assignment: Assignment
+    start_by_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/node/cactushead_node/composition/agent.py
@@ -0,0 +1,96 @@
+"""Wires an agent."""
+
+import logging
+import time
+
+import trio
+from cactushead_core.agents.node import AgentNode
+from cactushead_core.config import AgentConfig
+from cactushead_core.events import DrainRequested, PeerRole
+
+from ..inbox import Inbox
+from ..peers import Hello, PeerLinks
+from ..runtime import AGENT_TICK_S, Runtime
+from ..settings import AgentSettings
+from ..upstreams import UpstreamClient, UpstreamTarget
+from .peering import FLUSH_TIMEOUT_S, dial_voters, make_incarnation
+
+_log = logging.getLogger('cactushead.agent')
+
+
+class AgentProcess:
+    """An agent with its links and its upstream."""
+
+    def __init__(self, settings: AgentSettings) -> None:
+        """Wires the parts.
+
+        Args:
+            settings: Checked settings.
+        """
+        now = time.monotonic
+        config = _make_config(settings)
+        inbox = Inbox(now)
+        hello = Hello(
+            config.name,
+            PeerRole.AGENT,
+            config.incarnation,
+            config.cell,
+        )
+        self._settings = settings
+        self._links = PeerLinks(hello, inbox.put)
+        self._upstream = UpstreamClient(_make_target(settings), inbox.put, now)
+        self._runtime = Runtime(
+            AgentNode(config, now()),
+            self._links,
+            tick_s=AGENT_TICK_S,
+            inbox=inbox,
+            upstream=self._upstream,
+            now=now,
+        )
+
+    async def run(
+        self,
+        stop: trio.Event,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Runs until the agent is stopped and has drained.
+
+        Args:
+            stop: Is set when the agent shall drain.
+            task_status: Is told when the agent runs.
+        """
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._upstream.run)
+            nursery.start_soon(self._runtime.run)
+            dial_voters(nursery, self._links, self._settings.voters)
+            _log.info('agent: %s runs', self._settings.name)
+            task_status.started()
+            await stop.wait()
+            _log.info('agent: drain')
+            self._runtime.deliver(DrainRequested)
+            await self._runtime.drained.wait()
+            await self._links.close(FLUSH_TIMEOUT_S)
+            nursery.cancel_scope.cancel()
+        _log.info('agent: %s has drained', self._settings.name)
+
+
+def _make_config(settings: AgentSettings) -> AgentConfig:
+    return AgentConfig(
+        name=settings.name,
+        incarnation=make_incarnation(),
+        cell=settings.cell,
+        voters=tuple(voter.name for voter in settings.voters),
+        timing=settings.timing,
+        bounds=settings.bounds,
+    )
+
+
+def _make_target(settings: AgentSettings) -> UpstreamTarget:
+    return UpstreamTarget(
+        host=settings.upstream.host,
+        port=settings.upstream.port,
+        run_path=settings.upstream.run_path,
+        health_path=settings.upstream.health_path,
+        spec=settings.upstream_spec,
+    )
--- /dev/null
+++ b/packages/node/cactushead_node/composition/entry.py
@@ -0,0 +1,211 @@
+"""Wires an entry."""
+
+import logging
+import time
+import zlib
+from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
+
+import trio
+from cactushead_core.config import EntryConfig
+from cactushead_core.entry import EntryNode
+from cactushead_core.events import DrainRequested, PeerRole
+from cactushead_core.replication import StoredLog
+
+from ..callers import RequestPort, make_app, serve_callers
+from ..inbox import Inbox
+from ..peers import Hello, PeerLinks
+from ..peers.listener import listen
+from ..runtime import ENTRY_TICK_S, Runtime
+from ..settings import EntrySettings, VoterAddress
+from ..status import EntryStatus
+from ..storage import Storage, open_storage
+from .peering import FLUSH_TIMEOUT_S, dial_voters, make_incarnation
+
+CALLERS_DRAIN_S = 3600.0
+LAME_DUCK_S = 0.2
+
+_log = logging.getLogger('cactushead.entry')
+
+
+@dataclass(frozen=True, slots=True)
+class EntryAddresses:
+    """Where a running entry listens.
+
+    Attributes:
+        callers_url: URL for callers and operators.
+        peers_port: Port for the other processes; 0 when it is no voter.
+    """
+
+    callers_url: str
+    peers_port: int
+
+
+class EntryProcess:
+    """An entry with its links, its disk and its callers."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        *,
+        prepared: bool = True,
+    ) -> None:
+        """Opens the data folder and wires the parts.
+
+        Args:
+            settings: Checked settings.
+            prepared: Whether the entry is ready without further steps.
+
+        Raises:
+            StorageError: The data folder can't be read.
+        """
+        now = time.monotonic
+        self._settings = settings
+        self._storage = _open_storage(settings)
+        config = _make_config(settings, self._storage)
+        inbox = Inbox(now)
+        hello = Hello(
+            config.name,
+            PeerRole.ENTRY,
+            config.incarnation,
+            config.cell,
+        )
+        self._links = PeerLinks(hello, inbox.put)
+        node = EntryNode(config, _load(self._storage), now())
+        self._runtime = Runtime(
+            node,
+            self._links,
+            tick_s=ENTRY_TICK_S,
+            inbox=inbox,
+            storage=self._storage,
+            now=now,
+        )
+        self._status = EntryStatus(
+            node,
+            self._links.counters,
+            prepared=prepared,
+        )
+
+    @property
+    def requests(self) -> RequestPort:
+        """The way to the entry's reducer."""
+        return self._runtime
+
+    @property
+    def status(self) -> EntryStatus:
+        """What the entry shows of itself."""
+        return self._status
+
+    async def run(
+        self,
+        stop: trio.Event,
+        *,
+        task_status: trio.TaskStatus[EntryAddresses] = (
+            trio.TASK_STATUS_IGNORED
+        ),
+    ) -> None:
+        """Runs until the entry is stopped and has drained.
+
+        Args:
+            stop: Is set when the entry shall drain.
+            task_status: Is told where the entry listens.
+        """
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._runtime.run)
+            peers_port = await self._join(nursery)
+            async with trio.open_nursery() as callers_nursery:
+                urls = await callers_nursery.start(self._serve_callers, stop)
+                _log.info('entry: %s serves %s', self._settings.name, urls[0])
+                task_status.started(EntryAddresses(urls[0], peers_port))
+            await self._runtime.drained.wait()
+            await self._links.close(FLUSH_TIMEOUT_S)
+            nursery.cancel_scope.cancel()
+        if self._storage is not None:
+            self._storage.close()
+        _log.info('entry: %s has drained', self._settings.name)
+
+    async def _join(self, nursery: trio.Nursery) -> int:
+        """Listens for peers if this is a voter, and dials the others."""
+        settings = self._settings
+        peers_port = 0
+        if settings.is_voter:
+            peers_port = await nursery.start(
+                listen,
+                self._links,
+                settings.peers.host,
+                settings.peers.port,
+            )
+        dial_voters(nursery, self._links, _voters_to_dial(settings))
+        return peers_port
+
+    async def _serve_callers(
+        self,
+        stop: trio.Event,
+        task_status: trio.TaskStatus[list[str]],
+    ) -> None:
+        await serve_callers(
+            make_app(self._runtime, self._status),
+            self._settings.callers.host,
+            self._settings.callers.port,
+            shutdown_trigger=partial(self._drain, stop),
+            drain_s=CALLERS_DRAIN_S,
+            task_status=task_status,
+        )
+
+    async def _drain(self, stop: trio.Event) -> None:
+        """Returns when no more connections shall be accepted.
+
+        Explanation:
+            The entry first reports that it isn't ready and still takes
+            requests for a moment, so that a balancer can turn away and what
+            is on its way gets its answer.
+        """
+        await stop.wait()
+        _log.info('entry: drain')
+        self._status.begin_drain()
+        await trio.sleep(LAME_DUCK_S)
+        self._runtime.deliver(DrainRequested)
+
+
+def _open_storage(settings: EntrySettings) -> Storage | None:
+    if not settings.is_voter:
+        return None
+    return open_storage(Path(settings.data_dir))
+
+
+def _load(storage: Storage | None) -> StoredLog:
+    return StoredLog() if storage is None else storage.load()
+
+
+def _make_config(
+    settings: EntrySettings,
+    storage: Storage | None,
+) -> EntryConfig:
+    incarnation = make_incarnation()
+    return EntryConfig(
+        name=settings.name,
+        incarnation=incarnation,
+        cell=settings.cell,
+        data_centre=settings.data_centre,
+        voters=tuple(voter.name for voter in settings.voters),
+        disk_incarnation='' if storage is None else storage.incarnation,
+        synced_admission=settings.synced_admission,
+        timing=settings.timing,
+        bounds=settings.bounds,
+        seed=zlib.crc32(incarnation.encode()),
+    )
+
+
+def _voters_to_dial(settings: EntrySettings) -> list[VoterAddress]:
+    """Returns the voters that this entry dials.
+
+    Explanation:
+        Of two voters the one whose name sorts first dials.
+    """
+    return [
+        voter
+        for voter in settings.voters
+        if voter.name > settings.name
+        or (voter.name != settings.name and not settings.is_voter)
+    ]
--- /dev/null
+++ b/packages/node/cactushead_node/peers/link.py
@@ -0,0 +1,157 @@
+"""One link to a peer: a web socket with a bounded outgoing queue."""
+
+import logging
+from collections import deque
+from collections.abc import Callable
+
+import trio
+from cactushead_core.errors import FrameError
+from cactushead_core.events import Peer
+from cactushead_core.messages import Message, decode_frame
+from websockets.exceptions import ConnectionClosed
+from websockets.trio.connection import Connection
+
+from .counters import LinkCounters
+
+MAX_QUEUE_BYTES = 32_000_000
+SEND_TIMEOUT_S = 4.0
+CLOSE_TIMEOUT_S = 1.0
+
+_log = logging.getLogger('cactushead.peers')
+
+Receive = Callable[[Peer, Message], None]
+
+
+class Link:
+    """A web socket whose other end has said who it is.
+
+    Explanation:
+        A peer that stops reading fills the queue or holds up a write; in
+        both cases the link is dropped, so that it costs bounded memory.
+
+    Attributes:
+        peer: The process at the other end.
+        open: Whether the link takes and gives messages.
+    """
+
+    def __init__(
+        self,
+        socket: Connection,
+        peer: Peer,
+        counters: LinkCounters,
+    ) -> None:
+        """Takes over an open web socket.
+
+        Args:
+            socket: The web socket.
+            peer: The process at the other end.
+            counters: Counters of the process.
+        """
+        self.peer = peer
+        self.open = True
+        self._socket = socket
+        self._counters = counters
+        self._queue: deque[tuple[bytes, int]] = deque()
+        self._queued_bytes = 0
+        self._writer = trio.lowlevel.ParkingLot()
+        self._scope = trio.CancelScope()
+
+    @property
+    def idle(self) -> bool:
+        """Whether everything is written."""
+        return not self._queued_bytes
+
+    def send(self, frame: bytes, messages: int) -> None:
+        """Queues a frame; a full queue drops the link.
+
+        Args:
+            frame: The frame.
+            messages: Number of messages in it.
+        """
+        if self._queued_bytes + len(frame) > MAX_QUEUE_BYTES:
+            self._counters.dropped_links += 1
+            self._counters.dropped_messages += messages
+            self.drop(f'{self._queued_bytes} bytes are waiting')
+            return
+        self._queue.append((frame, messages))
+        self._queued_bytes += len(frame)
+        self._writer.unpark()
+
+    def drop(self, cause: str) -> None:
+        """Closes the link without waiting.
+
+        Args:
+            cause: Why, for the log.
+        """
+        if self.open:
+            _log.warning('peers: drop link to %s: %s', self.peer.name, cause)
+        self.open = False
+        self._scope.cancel()
+
+    async def close(self) -> None:
+        """Closes the link in order, so that what was written is read."""
+        await close_socket(self._socket)
+
+    async def run(self, receive: Receive) -> None:
+        """Reads and writes until the link ends.
+
+        Args:
+            receive: Takes each message that arrives.
+        """
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._write)
+                await self._read(receive)
+                nursery.cancel_scope.cancel()
+        self.open = False
+        self._counters.dropped_messages += sum(
+            count for _, count in self._queue
+        )
+        await close_socket(self._socket)
+
+    async def _read(self, receive: Receive) -> None:
+        try:
+            while True:
+                frame = await self._socket.recv(decode=False)
+                messages = decode_frame(frame)
+                self._counters.count_received(len(messages), len(frame))
+                for message in messages:
+                    receive(self.peer, message)
+        except ConnectionClosed as closed:
+            _log.info('peers: link to %s ended: %s', self.peer.name, closed)
+        except FrameError as error:
+            self.drop(f'bad frame: {error}')
+
+    async def _write(self) -> None:
+        while True:
+            if not self._queue:
+                await self._writer.park()
+            frame, messages = self._queue[0]
+            if not await self._send_frame(frame):
+                return
+            self._queue.popleft()
+            self._queued_bytes -= len(frame)
+            self._counters.count_sent(messages, len(frame))
+
+    async def _send_frame(self, frame: bytes) -> bool:
+        """Returns whether the frame was written."""
+        try:
+            with trio.fail_after(SEND_TIMEOUT_S):
+                await self._socket.send(frame)
+        except ConnectionClosed:
+            return False
+        except trio.TooSlowError:
+            self.drop(f'no write in {SEND_TIMEOUT_S} s')
+            return False
+        return True
+
+
+async def close_socket(socket: Connection) -> None:
+    """Closes a web socket, by force if the other end doesn't answer.
+
+    Args:
+        socket: The web socket.
+    """
+    with trio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
+        await socket.aclose()
+    await trio.aclose_forcefully(socket.stream)
--- /dev/null
+++ b/packages/node/cactushead_node/peers/listener.py
@@ -0,0 +1,41 @@
+"""Accepts links from other processes; only voters do."""
+
+import trio
+from websockets.trio.server import serve
+
+from .link import CLOSE_TIMEOUT_S
+from .links import (
+    HELLO_TIMEOUT_S,
+    MAX_FRAME_BYTES,
+    PING_INTERVAL_S,
+    PING_TIMEOUT_S,
+    PeerLinks,
+)
+
+
+async def listen(
+    links: PeerLinks,
+    host: str,
+    port: int,
+    task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Accepts links until it is cancelled.
+
+    Args:
+        links: Links of this process.
+        host: IP number to listen on.
+        port: TCP port, 0 for any.
+        task_status: Is told the port.
+    """
+    listeners = await trio.open_tcp_listeners(port, host=host)
+    task_status.started(listeners[0].socket.getsockname()[1])
+    await serve(
+        links.hold,
+        listeners=listeners,
+        compression=None,
+        ping_interval=PING_INTERVAL_S,
+        ping_timeout=PING_TIMEOUT_S,
+        close_timeout=CLOSE_TIMEOUT_S,
+        open_timeout=HELLO_TIMEOUT_S,
+        max_size=MAX_FRAME_BYTES,
+    )
--- /dev/null
+++ b/packages/node/cactushead_node/runner.py
@@ -0,0 +1,72 @@
+"""Runs a composed process until signals stop it."""
+
+import logging
+import os
+import signal
+import sys
+from typing import Protocol
+
+import trio
+
+from .settings import LogSettings
+
+EXIT_FAILED = 1
+
+_LOG_FORMAT = '%(asctime)s %(levelname)s %(message)s'
+_LIBRARY_LOGGERS = ('websockets', 'httpcore', 'hypercorn')
+
+_log = logging.getLogger('cactushead.main')
+
+
+class Process(Protocol):
+    """A composed process of any role."""
+
+    async def run(self, stop: trio.Event) -> None:
+        """Runs until it is stopped and has drained."""
+
+
+def run_process(process: Process, log: LogSettings) -> None:
+    """Runs a process; returns when it has drained.
+
+    Args:
+        process: The process.
+        log: What is logged.
+
+    Raises:
+        SystemExit: The process failed.
+    """
+    _set_up_log(log)
+    try:
+        trio.run(_run_until_stopped, process)
+    except Exception:
+        _log.exception('main: the process failed')
+        sys.exit(EXIT_FAILED)
+
+
+async def _run_until_stopped(process: Process) -> None:
+    stop = trio.Event()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(_watch_signals, stop)
+        await process.run(stop)
+        nursery.cancel_scope.cancel()
+
+
+async def _watch_signals(
+    stop: trio.Event,
+    task_status: trio.TaskStatus[None],
+) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        task_status.started()
+        async for number in signals:
+            name = signal.Signals(number).name
+            if stop.is_set():
+                _log.warning('main: %s again, exit at once', name)
+                os._exit(EXIT_FAILED)
+            _log.info('main: %s, drain', name)
+            stop.set()
+
+
+def _set_up_log(log: LogSettings) -> None:
+    logging.basicConfig(level=log.level.upper(), format=_LOG_FORMAT)
+    for library in _LIBRARY_LOGGERS:
+        logging.getLogger(library).setLevel(logging.WARNING)
--- /dev/null
+++ b/packages/node/cactushead_node/upstreams/client.py
@@ -0,0 +1,277 @@
+"""The agent's client of its upstream."""
+
+import json
+import logging
+from dataclasses import dataclass, field
+from functools import partial
+
+import trio
+from cactushead_core.agents.model import (
+    Assignment,
+    OutcomeStatus,
+    TaskOutcome,
+)
+from cactushead_core.effects import StartRun, StopRun
+from cactushead_core.events import RunEnded, StopEnded, UpstreamChecked
+
+from ..ports import Clock, Deliver, UpstreamPort
+from .exchange import (
+    EXCHANGE_ERRORS,
+    AnswerTooLargeError,
+    Exchange,
+    HttpAnswer,
+    make_pool,
+)
+from .target import UpstreamTarget
+
+CHECK_INTERVAL_S = 1.0
+CHECK_TIMEOUT_S = 2.0
+FAILED_CHECKS = 2
+STOP_TIMEOUT_S = 2.0
+STOP_TRIES = 5
+STOP_PAUSE_S = 0.2
+STOP_GRACE_S = 1.0
+NOT_FOUND = 404
+MS_PER_S = 1000
+
+_log = logging.getLogger('cactushead.upstream')
+
+
+@dataclass(slots=True)
+class _Run:
+    """A task that is running at the upstream."""
+
+    assignment: Assignment
+    exchange: Exchange
+    began_s: float
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    stop_requested: bool = False
+    stopped: bool = False
+
+
+class UpstreamClient(UpstreamPort):
+    """Starts and stops tasks at one upstream and checks its health."""
+
+    def __init__(
+        self,
+        target: UpstreamTarget,
+        deliver: Deliver,
+        now: Clock,
+    ) -> None:
+        """Starts without connections.
+
+        Args:
+            target: The upstream.
+            deliver: Takes the events.
+            now: Monotonic clock, in seconds.
+        """
+        self._target = target
+        self._deliver = deliver
+        self._now = now
+        # One connection is kept for checks and stops, so that neither waits
+        # behind tasks.
+        connections = max(target.spec.connections - 1, 1)
+        self._task_pool = make_pool(connections)
+        self._control_pool = make_pool(1)
+        self._runs: dict[str, _Run] = {}
+        self._nursery: trio.Nursery | None = None
+
+    async def run(
+        self,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Checks the upstream's health and runs tasks until cancelled.
+
+        Args:
+            task_status: Is told when tasks may be started.
+        """
+        async with (
+            self._task_pool,
+            self._control_pool,
+            trio.open_nursery() as nursery,
+        ):
+            self._nursery = nursery
+            task_status.started()
+            await self._check_health()
+
+    def start(self, effect: StartRun) -> None:
+        """Starts a task; its end is delivered as `RunEnded`.
+
+        Args:
+            effect: The task.
+        """
+        assignment = effect.assignment
+        exchange = Exchange(
+            'POST',
+            self._target.run_url,
+            _make_headers(assignment),
+            assignment.input_json,
+            effect.start_by_s,
+        )
+        run = _Run(assignment, exchange, self._now())
+        assert assignment.task_id not in self._runs, assignment.task_id
+        self._runs[assignment.task_id] = run
+        assert self._nursery is not None
+        self._nursery.start_soon(self._run_task, run)
+
+    def stop(self, effect: StopRun) -> None:
+        """Stops a task; the answer is delivered as `StopEnded`.
+
+        Args:
+            effect: The task.
+        """
+        assert self._nursery is not None
+        self._nursery.start_soon(self._stop_task, effect.task_id)
+
+    async def _run_task(self, run: _Run) -> None:
+        outcome = await self._find_outcome(run)
+        self._runs.pop(run.assignment.task_id)
+        self._deliver(partial(RunEnded, outcome=outcome))
+
+    async def _find_outcome(self, run: _Run) -> TaskOutcome:
+        timeout_s = run.assignment.timeout_s
+        try:
+            with run.scope, trio.fail_after(timeout_s):
+                answer = await run.exchange.perform(self._task_pool, self._now)
+                return self._judge_answer(run, answer)
+        except trio.TooSlowError:
+            return await self._give_up(run)
+        except EXCHANGE_ERRORS as error:
+            return self._judge_error(run, error)
+        # The scope was cancelled by a confirmed stop.
+        return self._end(run, OutcomeStatus.CANCELLED, 'stopped')
+
+    def _judge_answer(self, run: _Run, answer: HttpAnswer) -> TaskOutcome:
+        if not answer.succeeded:
+            error = f'upstream answered {answer.status}'
+            if run.stop_requested:
+                return self._end(run, OutcomeStatus.CANCELLED, error)
+            return self._end(run, OutcomeStatus.FAILED, error)
+        if not _is_json(answer.body):
+            return self._end(
+                run, OutcomeStatus.FAILED, 'upstream answered no JSON'
+            )
+        return self._end(run, OutcomeStatus.SUCCEEDED, '', answer.body)
+
+    def _judge_error(self, run: _Run, error: Exception) -> TaskOutcome:
+        cause = f'{type(error).__name__}: {error}'
+        if not run.exchange.written:
+            return self._end(run, OutcomeStatus.REFUSED, cause)
+        if run.stopped:
+            return self._end(run, OutcomeStatus.CANCELLED, cause)
+        if isinstance(error, AnswerTooLargeError):
+            return self._end(run, OutcomeStatus.FAILED, cause)
+        return self._end(run, OutcomeStatus.UNKNOWN, cause)
+
+    async def _give_up(self, run: _Run) -> TaskOutcome:
+        error = f'timed out after {run.assignment.timeout_s} s'
+        if not run.exchange.written:
+            return self._end(run, OutcomeStatus.REFUSED, error)
+        if await self._request_stop(run.assignment.task_id) is None:
+            return self._end(run, OutcomeStatus.UNKNOWN, error)
+        return self._end(run, OutcomeStatus.FAILED, error)
+
+    def _end(
+        self,
+        run: _Run,
+        status: OutcomeStatus,
+        error: str,
+        result_json: bytes = b'',
+    ) -> TaskOutcome:
+        return TaskOutcome(
+            run.assignment.job,
+            run.assignment.index,
+            run.assignment.start,
+            status,
+            result_json=result_json,
+            error=error,
+            run_s=self._now() - run.began_s,
+        )
+
+    async def _stop_task(self, task_id: str) -> None:
+        stopped = await self._confirm_stop(task_id)
+        self._deliver(partial(StopEnded, task_id=task_id, stopped=stopped))
+        run = self._runs.get(task_id)
+        if stopped and run is not None:
+            run.stopped = True
+            await trio.sleep(STOP_GRACE_S)
+            run.scope.cancel()
+
+    async def _confirm_stop(self, task_id: str) -> bool:
+        """Asks until the upstream confirms that the task runs no more.
+
+        A `404` while the own request is open doesn't count: the stop may
+        have overtaken it.
+        """
+        for _ in range(STOP_TRIES):
+            run = self._runs.get(task_id)
+            if run is not None:
+                run.stop_requested = True
+            answer = await self._request_stop(task_id)
+            known = task_id in self._runs
+            if answer is not None and (answer.succeeded or not known):
+                return True
+            await trio.sleep(STOP_PAUSE_S)
+        return False
+
+    async def _request_stop(self, task_id: str) -> HttpAnswer | None:
+        """Returns a 2xx or 404 answer; None when the upstream gave none."""
+        exchange = Exchange('DELETE', self._target.task_url(task_id))
+        answer = await self._ask(exchange, STOP_TIMEOUT_S)
+        if answer is None:
+            return None
+        confirmed = answer.succeeded or answer.status == NOT_FOUND
+        return answer if confirmed else None
+
+    async def _check_health(self) -> None:
+        failures = 0
+        while True:
+            exchange = Exchange('GET', self._target.health_url)
+            answer = await self._ask(exchange, CHECK_TIMEOUT_S)
+            if answer is not None and answer.succeeded:
+                failures = 0
+                self._deliver(
+                    partial(UpstreamChecked, upstream=self._target.spec),
+                )
+            else:
+                failures += 1
+            if failures == FAILED_CHECKS:
+                _log.warning('upstream: %s is down', self._target.spec.name)
+            if failures >= FAILED_CHECKS:
+                self._deliver(partial(UpstreamChecked, upstream=None))
+            await trio.sleep(CHECK_INTERVAL_S)
+
+    async def _ask(
+        self,
+        exchange: Exchange,
+        timeout_s: float,
+    ) -> HttpAnswer | None:
+        with trio.move_on_after(timeout_s):
+            try:
+                return await exchange.perform(self._control_pool, self._now)
+            except EXCHANGE_ERRORS as error:
+                _log.debug('upstream: %s failed: %r', exchange.url, error)
+        return None
+
+
+def _make_headers(assignment: Assignment) -> dict[str, str]:
+    return {
+        'Content-Type': 'application/json',
+        'Idempotency-Key': assignment.task_id,
+        'X-Deadline-Ms': str(int(assignment.timeout_s * MS_PER_S)),
+        'X-Cactushead-Service': assignment.job.service,
+        'X-Cactushead-Job-Key': assignment.job.key,
+        'X-Cactushead-Task-Index': str(assignment.index),
+    }
+
+
+def _is_json(body: bytes) -> bool:
+    try:
+        json.loads(body, parse_constant=_refuse_constant)
+    except ValueError:
+        return False
+    return True
+
+
+def _refuse_constant(constant: str) -> None:
+    raise ValueError(f'{constant} is no JSON')
--- /dev/null
+++ b/packages/node/cactushead_node/upstreams/sample.py
@@ -0,0 +1,252 @@
+"""The sample upstream: answers the value that it was given after a sleep."""
+
+import json
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any
+from urllib.parse import unquote
+
+import trio
+
+RUN_PATH = '/run'
+HEALTH_PATHS = ('/health', '/healthz')
+LONGEST_SLEEP_MS = 600_000
+MAX_INPUT_BYTES = 4 * 1024 * 1024
+MS_PER_S = 1000
+
+OK = 200
+NO_CONTENT = 204
+BAD_REQUEST = 400
+NOT_FOUND = 404
+CONFLICT = 409
+TOO_LARGE = 413
+SERVER_ERROR = 500
+
+_Scope = Mapping[str, Any]
+_Receive = Callable[[], Awaitable[Mapping[str, Any]]]
+_Send = Callable[[Mapping[str, Any]], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class SampleInput:
+    """Input of a task of the sample upstream.
+
+    Attributes:
+        value: The answer.
+        sleep_ms: How long the task takes.
+        fail: Whether it ends in failure.
+    """
+
+    value: Any
+    sleep_ms: float = 0.0
+    fail: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class StartLine:
+    """One line of the starts file.
+
+    Attributes:
+        task_id: Id of the task.
+        service: Name of the service.
+        job_key: The caller's idempotency key.
+        task_index: Index of the task in its job.
+        time_s: Wall clock of the start.
+    """
+
+    task_id: str
+    service: str
+    job_key: str
+    task_index: int
+    time_s: float
+
+
+def parse_input(body: bytes) -> SampleInput:
+    """Checks the input of a task.
+
+    Examples:
+        >>> parse_input(b'{"value": [1], "sleep_ms": 5}')
+        SampleInput(value=[1], sleep_ms=5.0, fail=False)
+
+    Args:
+        body: JSON text.
+
+    Returns:
+        The input.
+
+    Raises:
+        ValueError: The input is not valid.
+    """
+    fields = json.loads(body)
+    if not isinstance(fields, dict) or 'value' not in fields:
+        raise ValueError(f'expected an object with a value, got {body!r:.80}')
+    fail = fields.get('fail', False)
+    if not isinstance(fail, bool):
+        raise ValueError(f'fail must be true or false, got {fail!r:.80}')
+    sleep_ms = _check_sleep(fields.get('sleep_ms', 0))
+    return SampleInput(fields['value'], sleep_ms, fail)
+
+
+def _check_sleep(sleep_ms: Any) -> float:
+    if isinstance(sleep_ms, bool) or not isinstance(sleep_ms, int | float):
+        raise ValueError(f'sleep_ms must be a number, got {sleep_ms!r:.80}')
+    # False for NaN, which JSON text can carry here.
+    if not 0 <= sleep_ms <= LONGEST_SLEEP_MS:
+        raise ValueError(f'sleep_ms is out of range: {sleep_ms!r}')
+    return float(sleep_ms)
+
+
+class SampleUpstream:
+    """ASGI application of the sample upstream.
+
+    Explanation:
+        It runs whatever it is given, at any number. With a starts file, a
+        line is written before a task does any work.
+
+    Attributes:
+        running: Tasks that are running now.
+        most_running: Most tasks that ran at once.
+    """
+
+    def __init__(self, starts_file: Path | None = None) -> None:
+        """Starts without tasks.
+
+        Args:
+            starts_file: File that gets one line per start.
+        """
+        self.most_running = 0
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self._starts = None
+        if starts_file is not None:
+            starts_file.parent.mkdir(parents=True, exist_ok=True)
+            self._starts = starts_file.open('a', encoding='utf-8')
+
+    @property
+    def running(self) -> int:
+        """Tasks that are running now."""
+        return len(self._scopes)
+
+    async def __call__(
+        self,
+        scope: _Scope,
+        receive: _Receive,
+        send: _Send,
+    ) -> None:
+        """Serves one ASGI scope."""
+        if scope['type'] == 'lifespan':
+            await _serve_lifespan(receive, send)
+            return
+        status, content = await self._answer(scope, receive)
+        await _respond(send, status, content)
+
+    async def _answer(
+        self,
+        scope: _Scope,
+        receive: _Receive,
+    ) -> tuple[int, Any]:
+        method = scope['method']
+        path = scope['raw_path'].decode('ascii')
+        if method == 'GET' and path in HEALTH_PATHS:
+            return OK, {'running': self.running}
+        if method == 'POST' and path == RUN_PATH:
+            return await self._run(_read_headers(scope), receive)
+        if method == 'DELETE' and path.startswith(f'{RUN_PATH}/'):
+            return self._stop(unquote(path.removeprefix(f'{RUN_PATH}/')))
+        return NOT_FOUND, {'error': f'no {method} {path}'}
+
+    async def _run(
+        self,
+        headers: Mapping[str, str],
+        receive: _Receive,
+    ) -> tuple[int, Any]:
+        body = await _read_body(receive)
+        if body is None:
+            return TOO_LARGE, {'error': f'over {MAX_INPUT_BYTES} bytes'}
+        task_id = headers.get('idempotency-key', '')
+        self._note_start(task_id, headers)
+        try:
+            task = parse_input(body)
+        except ValueError as error:
+            return BAD_REQUEST, {'error': str(error)}
+        return await self._perform(task_id, task)
+
+    async def _perform(
+        self,
+        task_id: str,
+        task: SampleInput,
+    ) -> tuple[int, Any]:
+        run_scope = trio.CancelScope()
+        self._scopes[task_id] = run_scope
+        self.most_running = max(self.most_running, self.running)
+        try:
+            with run_scope:
+                await trio.sleep(task.sleep_ms / MS_PER_S)
+        finally:
+            if self._scopes.get(task_id) is run_scope:
+                self._scopes.pop(task_id)
+        if run_scope.cancelled_caught:
+            return CONFLICT, {'error': 'stopped'}
+        if task.fail:
+            return SERVER_ERROR, {'error': 'failed as asked'}
+        return OK, task.value
+
+    def _stop(self, task_id: str) -> tuple[int, Any]:
+        run_scope = self._scopes.get(task_id)
+        if run_scope is None:
+            return NOT_FOUND, {'error': f'{task_id} does not run'}
+        run_scope.cancel()
+        return NO_CONTENT, None
+
+    def _note_start(self, task_id: str, headers: Mapping[str, str]) -> None:
+        if self._starts is None:
+            return
+        line = StartLine(
+            task_id,
+            headers.get('x-cactushead-service', ''),
+            headers.get('x-cactushead-job-key', ''),
+            int(headers.get('x-cactushead-task-index', '-1')),
+            time.time(),
+        )
+        self._starts.write(f'{json.dumps(asdict(line))}\n')
+        self._starts.flush()
+
+
+async def _serve_lifespan(receive: _Receive, send: _Send) -> None:
+    while True:
+        message = await receive()
+        await send({'type': f'{message["type"]}.complete'})
+        if message['type'] == 'lifespan.shutdown':
+            return
+
+
+def _read_headers(scope: _Scope) -> dict[str, str]:
+    return {
+        name.decode('ascii').lower(): text.decode('utf-8', 'replace')
+        for name, text in scope['headers']
+    }
+
+
+async def _read_body(receive: _Receive) -> bytes | None:
+    body = bytearray()
+    more = True
+    while more:
+        message = await receive()
+        body += message.get('body', b'')
+        if len(body) > MAX_INPUT_BYTES:
+            return None
+        more = message.get('more_body', False)
+    return bytes(body)
+
+
+async def _respond(send: _Send, status: int, content: Any) -> None:
+    body = b'' if status == NO_CONTENT else json.dumps(content).encode()
+    headers = [
+        (b'content-type', b'application/json'),
+        (b'content-length', str(len(body)).encode()),
+    ]
+    await send(
+        {'type': 'http.response.start', 'status': status, 'headers': headers},
+    )
+    await send({'type': 'http.response.body', 'body': body})
