Add the client and the commands for jobs, documents, settings and views

The client asks the entries in turn. Every call of the interface is idempotent (a submission by its key, a document by version and content), so a broken exchange goes to the next entry under the same key, as does a 503 that says not run. A `not_run` from a later entry is taken back when an earlier one may have the request.

--- /dev/null
+++ b/packages/cli/cactushead_cli/client/tests/fakes.py
@@ -0,0 +1,31 @@
+"""A transport that answers from a script."""
+
+import json
+
+from cactushead_cli.client import HttpCall, HttpReply, Transport
+
+
+def reply(status, body, retry_after_s=0.0):
+    return HttpReply(status, json.dumps(body).encode(), retry_after_s)
+
+
+class ScriptedTransport(Transport):
+    """Gives each entry's scripted outcomes in turn and keeps the calls."""
+
+    def __init__(self, **outcomes_by_entry):
+        self.outcomes = {
+            f'http://{name}': list(outcomes)
+            for name, outcomes in outcomes_by_entry.items()
+        }
+        self.calls: list[tuple[str, HttpCall]] = []
+
+    @property
+    def tried(self):
+        return [entry for entry, _ in self.calls]
+
+    async def _send(self, entry, call):
+        self.calls.append((entry, call))
+        outcome = self.outcomes[entry].pop(0)
+        if isinstance(outcome, Exception):
+            raise outcome
+        return outcome
--- /dev/null
+++ b/packages/cli/cactushead_cli/client/tests/test_client.py
@@ -0,0 +1,137 @@
+"""Tests of the client over a scripted transport."""
+
+import json
+
+import pytest
+import trio
+from cactushead_cli.client import (
+    Client,
+    EntryUnreachableError,
+    ExchangeBrokenError,
+    HttpReply,
+    NoEntryAnswersError,
+    RefusedError,
+    Submission,
+    TaskInput,
+    TimelineQuery,
+    UnreadableReplyError,
+)
+from cactushead_cli.client.tests.fakes import ScriptedTransport, reply
+
+SUBMISSION = Submission(
+    'sample', 'k1', 'echo', 'ann', 5.0, (TaskInput({'value': 1}, cores=2.0),)
+)
+COMPLETE = reply(200, {'job': 'k1', 'state': 'complete', 'results': [1]})
+UNREACHABLE = EntryUnreachableError('http://a', 'refused')
+BROKEN = ExchangeBrokenError('http://a', 'closed')
+
+
+def submit(transport, submission=SUBMISSION):
+    entries = tuple(transport.outcomes)
+    return trio.run(Client(transport, entries).submit, submission)
+
+
+def test_submit_sends_the_documented_request():
+    transport = ScriptedTransport(a=[COMPLETE])
+    view = submit(transport)
+    call = transport.calls[0][1]
+    assert (call.method, call.path) == ('POST', '/v1/services/sample/jobs')
+    assert call.headers == (('Idempotency-Key', 'k1'),)
+    assert json.loads(call.body) == {
+        'caller': 'ann',
+        'kind': 'echo',
+        'deadline_s': 5.0,
+        'tasks': [{'input': {'value': 1}, 'cores': 2.0}],
+    }
+    assert (view.state, view.results) == ('complete', (1,))
+
+
+def test_submit_without_waiting_asks_for_it():
+    transport = ScriptedTransport(a=[reply(202, {'job': 'k1'})])
+    submission = Submission('sample', 'k1', 'echo', 'ann', 5.0, (), wait=False)
+    submit(transport, submission)
+    assert ('Prefer', 'respond-async') in transport.calls[0][1].headers
+
+
+@pytest.mark.parametrize('failure', [UNREACHABLE, BROKEN])
+def test_next_entry_gets_the_same_key(failure):
+    transport = ScriptedTransport(a=[failure], b=[COMPLETE])
+    assert submit(transport).state == 'complete'
+    assert transport.tried == ['http://a', 'http://b']
+    assert transport.calls[0][1] == transport.calls[1][1]
+
+
+def test_no_entry_answers_names_all_addresses():
+    transport = ScriptedTransport(a=[UNREACHABLE], b=[BROKEN])
+    with pytest.raises(NoEntryAnswersError) as caught:
+        submit(transport)
+    assert 'http://a (refused), http://a (closed)' in str(caught.value)
+    assert caught.value.may_have_arrived
+
+
+def test_refusal_keeps_status_and_findings():
+    finding = {'place': 'tasks[0]', 'finding': 'too large'}
+    body = {'error': 'invalid', 'not_run': True, 'findings': [finding]}
+    transport = ScriptedTransport(a=[reply(400, body)], b=[])
+    with pytest.raises(RefusedError) as caught:
+        submit(transport)
+    error = caught.value
+    assert (error.status, error.not_run) == (400, True)
+    assert str(error.findings[0]) == 'tasks[0]: too large'
+    assert transport.tried == ['http://a']
+
+
+def test_unavailable_entry_is_passed_over():
+    refusal = reply(503, {'error': 'no leader known', 'not_run': True}, 1.0)
+    transport = ScriptedTransport(a=[refusal], b=[COMPLETE])
+    assert submit(transport).state == 'complete'
+
+
+def test_unknown_outcome_is_not_passed_over():
+    refusal = reply(504, {'error': 'no answer in time', 'not_run': False})
+    transport = ScriptedTransport(a=[refusal], b=[COMPLETE])
+    with pytest.raises(RefusedError) as caught:
+        submit(transport)
+    assert not caught.value.not_run
+    assert transport.tried == ['http://a']
+
+
+def test_not_run_is_taken_back_after_a_broken_exchange():
+    refusal = reply(503, {'error': 'no leader known', 'not_run': True})
+    transport = ScriptedTransport(a=[BROKEN], b=[refusal])
+    with pytest.raises(RefusedError) as caught:
+        submit(transport)
+    assert not caught.value.not_run
+
+
+def test_body_that_is_no_json_is_named():
+    transport = ScriptedTransport(a=[HttpReply(200, b'<html>')])
+    with pytest.raises(UnreadableReplyError):
+        submit(transport)
+
+
+def test_timeline_sends_only_given_filters():
+    transport = ScriptedTransport(a=[HttpReply(200, b'{"kind": "x"}\n\n')])
+    client = Client(transport, ('http://a',))
+    events = trio.run(client.timeline, TimelineQuery(job='k 1', since_s=3.5))
+    assert transport.calls[0][1].path == '/v1/timeline?job=k+1&since_s=3.5'
+    assert [event.text('kind') for event in events] == ['x']
+
+
+def test_document_is_put_as_given():
+    body = {'service': 's', 'version': 2, 'in_force': ['e1'], 'pending': []}
+    transport = ScriptedTransport(a=[reply(200, body)])
+    client = Client(transport, ('http://a',))
+    view = trio.run(client.submit_document, 's', b'{ }')
+    assert transport.calls[0][1].body == b'{ }'
+    assert (view.version, view.in_force) == (2, ('e1',))
+
+
+def test_cancel_and_status_use_the_job_path():
+    body = {'state': 'running', 'tasks': 3, 'ended_tasks': 1}
+    transport = ScriptedTransport(a=[reply(200, body), reply(202, body)])
+    client = Client(transport, ('http://a',))
+    assert not trio.run(client.job, 's', 'k').final
+    assert trio.run(client.cancel, 's', 'k').tasks == 3
+    methods = [call.method for _, call in transport.calls]
+    assert methods == ['GET', 'DELETE']
--- /dev/null
+++ b/packages/cli/cactushead_cli/commands/tests/test_jobs.py
@@ -0,0 +1,63 @@
+"""Tests of the job and view commands over a scripted transport."""
+
+import json
+
+import pytest
+import trio
+from cactushead_cli.client import (
+    HttpReply,
+    JobFailedError,
+    Submission,
+    TaskInput,
+    TimelineQuery,
+)
+from cactushead_cli.client.tests.fakes import ScriptedTransport, reply
+from cactushead_cli.commands.context import Context
+from cactushead_cli.commands.jobs import cancel_job, show_status, submit_job
+from cactushead_cli.commands.views import show_timeline
+
+SUBMISSION = Submission(
+    'sample', 'k1', 'echo', 'ann', 5.0, (TaskInput(1), TaskInput(2))
+)
+COMPLETE = {'job': 'k1', 'state': 'complete', 'results': [1, 'b']}
+
+
+def context(answer, as_json=False):
+    transport = ScriptedTransport(a=[answer])
+    return Context('http://a', '', as_json, transport)
+
+
+def test_answers_are_written_in_task_order(capsys):
+    code = trio.run(submit_job, context(reply(200, COMPLETE)), SUBMISSION)
+    assert code == 0
+    lines = capsys.readouterr().out.splitlines()
+    assert lines == ['job k1: complete', '  0: 1', "  1: 'b'"]
+
+
+def test_json_holds_the_whole_answer(capsys):
+    trio.run(submit_job, context(reply(200, COMPLETE), True), SUBMISSION)
+    written = json.loads(capsys.readouterr().out)
+    assert written['results'] == [1, 'b']
+
+
+def test_failed_job_is_an_error():
+    failed = reply(200, {'state': 'failed', 'error': 'task 1 failed'})
+    with pytest.raises(JobFailedError, match='task 1 failed'):
+        trio.run(show_status, context(failed), 'sample', 'k1')
+
+
+def test_cancelled_job_is_done(capsys):
+    failed = {'state': 'failed', 'error': 'cancelled', 'not_run': True}
+    asked = context(reply(200, failed))
+    assert trio.run(cancel_job, asked, 'sample', 'k1') == 0
+    assert 'no task was run' in capsys.readouterr().out
+
+
+def test_timeline_is_a_table(capsys):
+    event = {'wall_s': 1.5, 'process': 'e1', 'kind': 'job submitted'}
+    body = json.dumps(event).encode()
+    asked = context(HttpReply(200, body))
+    trio.run(show_timeline, asked, TimelineQuery())
+    head, row = capsys.readouterr().out.splitlines()
+    assert head.split()[0] == 'time'
+    assert row.startswith('00:00:01.500000  e1       job submitted')
