Apply the document's limits at admission and at each start

Cause: the thin scheduler knew only queue_tasks, and scanned all upstreams for each service in each turn.

concurrent_tasks, starts_per_s (token bucket, burst of 0.1 s), caller_share and job_tasks bind now; a service that drains or stops refuses with NOT_SERVING; a task that no known worker holds is refused with its place. Weighed: refusing while no upstream is known. It would turn every change of leader into refusals, so such jobs are queued under the same bounds, and sizes are judged only a second after the scheduler began and against workers that left within ten minutes too.

Retry times come from the observed drain rate. Upstreams live in pools by selector, bucketed by preference.

--- a/packages/core/cactushead_core/scheduling/__init__.py
+++ b/packages/core/cactushead_core/scheduling/__init__.py
@@ -2,7 +2,7 @@
 
 from .model import PlacedTask, QueuedTask, UpstreamState
 from .order import ArrivalOrder, TaskOrder
-from .placement import FirstFitPlacement, PlacementPolicy
+from .placement import FirstFitPlacement, PlacementPolicy, RandomPlacement
 from .scheduler import Scheduler
 
 __all__ = [
@@ -11,6 +11,7 @@
     'PlacedTask',
     'PlacementPolicy',
     'QueuedTask',
+    'RandomPlacement',
     'Scheduler',
     'TaskOrder',
     'UpstreamState',
--- a/packages/core/cactushead_core/scheduling/model.py
+++ b/packages/core/cactushead_core/scheduling/model.py
@@ -1,10 +1,31 @@
 """Value objects of the scheduler."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from ..agents.model import UpstreamSpec
 from ..jobs.model import JobId
 
+# Absorbs the rounding of repeated bookings of fractions of a core.
+BOOKING_TOLERANCE = 1e-6
+UNLIMITED_TASKS = 1_000_000_000
+
+
+def clean_size(declared: float) -> float:
+    """Returns a declared size that is safe to book.
+
+    Examples:
+        >>> clean_size(2.5), clean_size(-1.0), clean_size(float('nan'))
+        (2.5, 0.0, 0.0)
+
+    Args:
+        declared: Cores or megabytes as the caller declared them.
+
+    Returns:
+        The size; 0 for a negative one or NaN.
+    """
+    return declared if declared > 0 else 0.0
+
 
 @dataclass(frozen=True, slots=True)
 class QueuedTask:
@@ -53,22 +74,114 @@
     upstream: str
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerSize:
+    """Cores and memory of a worker.
+
+    Attributes:
+        cores: Processor cores.
+        memory_mb: Memory.
+    """
+
+    cores: float
+    memory_mb: float
+
+    def holds(self, cores: float, memory_mb: float) -> bool:
+        """Whether a task of a declared size fits an idle worker.
+
+        Args:
+            cores: Declared cores.
+            memory_mb: Declared memory.
+        """
+        return cores <= self.cores and memory_mb <= self.memory_mb
+
+
 @dataclass(slots=True)
 class UpstreamState:
-    """What the leader knows of an upstream.
+    """What the leader knows of an upstream, and what it has booked there.
 
     Attributes:
         spec: What its agent announced.
         available: Whether it may be given tasks: its agent holds a lease,
             has reported, and isn't leaving.
         tasks: Tasks that occupy its slots, by task id.
+        queue_depth: Tasks that may wait at the agent beyond the slots.
+        allowance: Most tasks that its health lets it have.
+        reserved: Whether it is kept free for a task that fits nowhere else.
+        cores_booked: Declared cores of its tasks.
+        memory_booked_mb: Declared memory of its tasks.
     """
 
     spec: UpstreamSpec
     available: bool = False
     tasks: dict[str, QueuedTask] = field(default_factory=dict)
+    queue_depth: int = 0
+    allowance: int = UNLIMITED_TASKS
+    reserved: bool = False
+    cores_booked: float = 0.0
+    memory_booked_mb: float = 0.0
 
     @property
     def free_slots(self) -> int:
         """Slots that nothing occupies."""
         return self.spec.slots - len(self.tasks)
+
+    @property
+    def room(self) -> int:
+        """Tasks that may be added now, those that wait at the agent too."""
+        if self.reserved or not self.available:
+            return 0
+        most = min(self.spec.slots + self.queue_depth, self.allowance)
+        return max(0, most - len(self.tasks))
+
+    @property
+    def size(self) -> WorkerSize:
+        """Cores and memory of its worker."""
+        return WorkerSize(self.spec.cores, self.spec.memory_mb)
+
+    def fits(self, task: QueuedTask) -> bool:
+        """Whether the declared size of a task is free on its worker.
+
+        Args:
+            task: The task.
+        """
+        if task.cores > 0:
+            free = self.spec.cores - self.cores_booked
+            if task.cores > free + BOOKING_TOLERANCE:
+                return False
+        if task.memory_mb > 0:
+            free = self.spec.memory_mb - self.memory_booked_mb
+            return task.memory_mb <= free + BOOKING_TOLERANCE
+        return True
+
+    def book(self, task: QueuedTask) -> None:
+        """Books a slot and the declared size of a task.
+
+        Args:
+            task: The task.
+        """
+        self.tasks[task.task_id] = task
+        self.cores_booked += clean_size(task.cores)
+        self.memory_booked_mb += clean_size(task.memory_mb)
+
+    def release(self, task_id: str) -> QueuedTask | None:
+        """Frees the slot and the declared size of a task.
+
+        Args:
+            task_id: Id of the task.
+
+        Returns:
+            The task, or None when it isn't booked here.
+        """
+        task = self.tasks.pop(task_id, None)
+        if task is None:
+            return None
+        self.cores_booked -= clean_size(task.cores)
+        self.memory_booked_mb -= clean_size(task.memory_mb)
+        if not self.tasks:
+            self.cores_booked = 0.0
+            self.memory_booked_mb = 0.0
+        return task
+
+
+RackCounts = Mapping[str, int]
--- /dev/null
+++ b/packages/core/cactushead_core/scheduling/registry.py
@@ -0,0 +1,132 @@
+"""The announced upstreams and the pools that they belong to."""
+
+from collections.abc import Callable, Collection
+
+from ..agents.model import UpstreamSpec
+from ..documents.model import Selector
+from .model import UpstreamState
+from .pool import UpstreamPool, selects
+
+
+class UpstreamRegistry:
+    """Keeps each announced upstream in the pools whose selector matches.
+
+    Explanation:
+        Services with equal selectors share a pool. A change of an
+        upstream's room updates only the pools that it belongs to.
+    """
+
+    def __init__(
+        self,
+        prefer: Callable[[UpstreamState], int],
+        queue_depth: int = 0,
+    ) -> None:
+        """Starts without upstreams.
+
+        Args:
+            prefer: Gives the preference of an upstream with room.
+            queue_depth: Tasks that may wait at an agent beyond its slots.
+        """
+        self.states: dict[str, UpstreamState] = {}
+        self._prefer = prefer
+        self._queue_depth = queue_depth
+        self._pools: dict[Selector, UpstreamPool] = {}
+        self._memberships: dict[str, list[UpstreamPool]] = {}
+
+    def pool(self, selector: Selector) -> UpstreamPool:
+        """Returns the pool of a selector; it is made when it is new.
+
+        Args:
+            selector: Selector of a service's document.
+        """
+        pool = self._pools.get(selector)
+        if pool is None:
+            pool = UpstreamPool(selector, self._prefer)
+            self._pools[selector] = pool
+            for name, state in self.states.items():
+                if selects(selector, state.spec):
+                    pool.add(state)
+                    self._memberships[name].append(pool)
+        return pool
+
+    def keep_pools(self, selectors: Collection[Selector]) -> None:
+        """Drops the pools that no document uses any more.
+
+        Args:
+            selectors: Selectors of all documents in force.
+        """
+        for selector in set(self._pools).difference(selectors):
+            pool = self._pools.pop(selector)
+            for name in pool.members:
+                self._memberships[name].remove(pool)
+
+    def pools_of(self, upstream: str) -> list[UpstreamPool]:
+        """Returns the pools that an upstream belongs to.
+
+        Args:
+            upstream: Name of the upstream.
+        """
+        return self._memberships.get(upstream, [])
+
+    def announce(
+        self,
+        spec: UpstreamSpec,
+        *,
+        available: bool,
+        now_s: float,
+    ) -> UpstreamState:
+        """Adds an upstream or notes what changed in its announcement.
+
+        Args:
+            spec: The announced upstream.
+            available: Whether it may be given tasks.
+            now_s: The leader's monotonic clock.
+
+        Returns:
+            Its state.
+        """
+        state = self.states.get(spec.name)
+        if state is None:
+            state = UpstreamState(spec, queue_depth=self._queue_depth)
+            self.states[spec.name] = state
+            self._join(state)
+        elif state.spec != spec:
+            self._leave(state, now_s)
+            state.spec = spec
+            self._join(state)
+        state.available = available
+        self.update(state)
+        return state
+
+    def remove(self, state: UpstreamState, now_s: float) -> None:
+        """Forgets an upstream.
+
+        Args:
+            state: The upstream.
+            now_s: The leader's monotonic clock.
+        """
+        self._leave(state, now_s)
+        self.states.pop(state.spec.name)
+
+    def update(self, state: UpstreamState) -> None:
+        """Notes that the room of an upstream may have changed.
+
+        Args:
+            state: The upstream.
+        """
+        for pool in self._memberships[state.spec.name]:
+            pool.update(state)
+
+    def _join(self, state: UpstreamState) -> None:
+        pools = [
+            pool
+            for pool in self._pools.values()
+            if selects(pool.selector, state.spec)
+        ]
+        self._memberships[state.spec.name] = pools
+        for pool in pools:
+            pool.add(state)
+
+    def _leave(self, state: UpstreamState, now_s: float) -> None:
+        for pool in self._memberships.pop(state.spec.name):
+            pool.discard(state, now_s)
--- /dev/null
+++ b/packages/core/cactushead_core/scheduling/service.py
@@ -0,0 +1,103 @@
+"""What the scheduler keeps of one service: its document and its load."""
+
+from dataclasses import dataclass, field
+
+from ..documents.model import RequestKind, ServiceDocument
+from .model import QueuedTask
+from .pool import UpstreamPool
+from .rates import DrainRate, TokenBucket
+
+SHORTEST_RETRY_S = 0.1
+LONGEST_RETRY_S = 60.0
+UNKNOWN_RATE_RETRY_S = 1.0
+
+
+@dataclass(slots=True)
+class ServiceLoad:
+    """A service's document in force, its pool and what it has going on.
+
+    Attributes:
+        document: The document.
+        pool: Upstreams that its selector matches.
+        running: Tasks that occupy slots.
+        waiting: Tasks that wait.
+        waiting_by_caller: Tasks that wait, by caller.
+        tokens: Limit on the rate of starts.
+        drained: Observed rate at which its queue drains.
+        kinds: Request kinds of the document, by name.
+    """
+
+    document: ServiceDocument
+    pool: UpstreamPool
+    running: int = 0
+    waiting: int = 0
+    waiting_by_caller: dict[str, int] = field(default_factory=dict)
+    tokens: TokenBucket = field(default_factory=TokenBucket)
+    drained: DrainRate = field(default_factory=DrainRate)
+    kinds: dict[str, RequestKind] = field(default_factory=dict)
+
+    @property
+    def may_start(self) -> bool:
+        """Whether limits and slots allow one more start now."""
+        return (
+            self.pool.has_room
+            and self.running < self.document.limits.concurrent_tasks
+            and self.tokens.is_open
+        )
+
+    def apply_document(
+        self,
+        document: ServiceDocument,
+        pool: UpstreamPool,
+        now_s: float,
+    ) -> None:
+        """Puts a document in force; running and waiting tasks stay.
+
+        Args:
+            document: The document.
+            pool: Upstreams that its selector matches.
+            now_s: The leader's monotonic clock.
+        """
+        self.document = document
+        self.pool = pool
+        self.kinds = {kind.name: kind for kind in document.requests}
+        self.tokens.refill(now_s)
+        self.tokens.rate_per_s = document.limits.starts_per_s
+        self.tokens.add(0)
+
+    def note_waiting(self, task: QueuedTask) -> None:
+        """Counts a task that begins to wait.
+
+        Args:
+            task: The task.
+        """
+        self.waiting += 1
+        count = self.waiting_by_caller.get(task.caller, 0)
+        self.waiting_by_caller[task.caller] = count + 1
+
+    def note_unqueued(self, task: QueuedTask) -> None:
+        """Counts a task that waits no more.
+
+        Args:
+            task: The task.
+        """
+        self.waiting -= 1
+        count = self.waiting_by_caller[task.caller] - 1
+        if count:
+            self.waiting_by_caller[task.caller] = count
+        else:
+            self.waiting_by_caller.pop(task.caller)
+        assert self.waiting >= 0, f'{task.task_id} left an empty queue'
+
+    def retry_after_s(self, tasks: int, now_s: float) -> float:
+        """Returns how long the queue takes to drain by a number of tasks.
+
+        Args:
+            tasks: Tasks that must leave the queue first.
+            now_s: The leader's monotonic clock.
+        """
+        rate_per_s = self.drained.at(now_s)
+        if rate_per_s <= 0:
+            return UNKNOWN_RATE_RETRY_S
+        wait_s = tasks / rate_per_s
+        return min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, wait_s))
--- /dev/null
+++ b/packages/core/cactushead_core/scheduling/tests/test_admission.py
@@ -0,0 +1,166 @@
+"""Tests of document rules at admission and over changes of the document."""
+
+import pytest
+from cactushead_core.documents import Limits, Selector, ServiceState
+from cactushead_core.jobs import RefusalReason
+from cactushead_core.scheduling import (
+    ArrivalOrder,
+    FirstFitPlacement,
+    Scheduler,
+)
+
+from .builders import document, outcome, request, spec, task
+
+SETTLED_S = 10.0
+SMALL = Limits(queue_tasks=10, caller_share=0.5, job_tasks=8)
+
+
+def make(limits=None, upstreams=('u1',), **fields):
+    scheduler = Scheduler(ArrivalOrder, FirstFitPlacement())
+    scheduler.set_document(document(limits=limits, **fields), 0.0)
+    for name in upstreams:
+        scheduler.set_upstream(spec(name), available=True, now_s=0.0)
+    return scheduler
+
+
+def fill(scheduler, count, *, caller='c', key='w'):
+    for index in range(count):
+        scheduler.enqueue(task(key, index, caller=caller))
+
+
+@pytest.mark.parametrize(
+    ('waiting', 'tasks', 'reason', 'place'),
+    [
+        (0, 5, None, ''),
+        (0, 9, RefusalReason.TOO_LARGE, 'tasks'),
+        (0, 6, RefusalReason.TOO_LARGE, 'tasks'),
+        (3, 3, RefusalReason.QUOTA, ''),
+        (6, 5, RefusalReason.QUEUE_FULL, ''),
+    ],
+)
+def test_queue_bounds(waiting, tasks, reason, place):
+    scheduler = make(SMALL)
+    fill(scheduler, waiting)
+    refusal = scheduler.find_refusal(request(tasks), SETTLED_S)
+    assert (refusal and refusal.reason) == reason
+    if place:
+        assert refusal.findings[0].place == place
+        assert refusal.retry_after_s == 0
+    elif refusal:
+        assert refusal.not_run
+        assert refusal.retry_after_s > 0
+
+
+@pytest.mark.parametrize('state', [ServiceState.DRAINING, ServiceState.STOPPED])
+def test_service_that_does_not_serve(state):
+    refusal = make(state=state).find_refusal(request(), SETTLED_S)
+    assert refusal.reason is RefusalReason.NOT_SERVING
+    assert refusal.retry_after_s > 0
+
+
+@pytest.mark.parametrize(
+    ('size', 'place'),
+    [
+        ((65.0, 0.0), 'tasks[0].cores'),
+        ((1.0, 200_000.0), 'tasks[0].memory_mb'),
+        ((float('nan'), 0.0), 'tasks[0].memory_mb'),
+    ],
+)
+def test_task_that_no_worker_holds(size, place):
+    refusal = make().find_refusal(request(2, size=size), SETTLED_S)
+    assert refusal.reason is RefusalReason.TOO_LARGE
+    assert refusal.findings[0].place == place
+    assert len(refusal.findings) == 2
+
+
+def test_sizes_are_not_judged_without_upstreams():
+    scheduler = make(upstreams=())
+    assert scheduler.find_refusal(request(size=(999, 0)), SETTLED_S) is None
+
+
+def test_sizes_are_not_judged_right_after_a_leader_change():
+    assert make().find_refusal(request(size=(999, 0)), 0.1) is None
+
+
+def test_size_of_a_worker_that_left_counts_for_a_while():
+    scheduler = make(upstreams=('u1',))
+    scheduler.set_upstream(spec('big', cores=256), available=True, now_s=5.0)
+    scheduler.remove_upstream('big')
+    wanted = request(size=(200, 0))
+    assert scheduler.find_refusal(wanted, SETTLED_S) is None
+    assert scheduler.find_refusal(wanted, 1000.0) is not None
+
+
+def test_unknown_kind_and_service():
+    scheduler = make()
+    other = request(service='other')
+    refusal = scheduler.find_refusal(other, SETTLED_S)
+    assert refusal.reason is RefusalReason.UNKNOWN_SERVICE
+
+
+def test_retry_time_follows_the_drain_rate():
+    scheduler = make(Limits(queue_tasks=100))
+    fill(scheduler, 100)
+    ended = 0
+    for turn in range(1, 5):
+        for placed in scheduler.place(SETTLED_S + turn):
+            ended += 1
+            scheduler.task_ended('u1', outcome(placed.task), SETTLED_S + turn)
+    fill(scheduler, ended, key='more')
+    refusal = scheduler.find_refusal(request(40), SETTLED_S + 4)
+    assert refusal.reason is RefusalReason.QUEUE_FULL
+    assert 5 < refusal.retry_after_s < 15
+
+
+def test_concurrent_tasks():
+    scheduler = make(Limits(concurrent_tasks=3))
+    fill(scheduler, 5)
+    placed = scheduler.place(1.0)
+    assert len(placed) == 3
+    scheduler.task_returned('u1', placed[0].task.task_id)
+    assert len(scheduler.place(1.0)) == 1
+
+
+def test_starts_per_second():
+    scheduler = make(Limits(starts_per_s=10.0), upstreams=('u1', 'u2'))
+    fill(scheduler, 16)
+    started = [len(scheduler.place(turn / 100)) for turn in range(1, 101)]
+    assert sum(started) in {9, 10}
+    assert max(started) == 1
+
+
+def test_new_selector_gives_no_new_work_and_keeps_running_tasks():
+    scheduler = make(upstreams=('u1', 'u2'))
+    fill(scheduler, 20)
+    assert len(scheduler.place(1.0)) == 16
+    only = document(upstreams=Selector(names=('u2',)), version=2)
+    scheduler.set_document(only, 2.0)
+    scheduler.task_ended('u1', outcome(task('w', 0)), 2.0)
+    assert scheduler.place(2.0) == []
+    scheduler.task_ended('u2', outcome(task('w', 8)), 2.0)
+    assert [placed.upstream for placed in scheduler.place(2.0)] == ['u2']
+
+
+def test_lowered_limit_holds_for_later_starts_only():
+    scheduler = make()
+    fill(scheduler, 12)
+    assert len(scheduler.place(1.0)) == 8
+    lower = document(limits=Limits(concurrent_tasks=2), version=2)
+    scheduler.set_document(lower, 2.0)
+    for index in range(6):
+        scheduler.task_ended('u1', outcome(task('w', index)), 2.0)
+        assert scheduler.place(2.0) == []
+    scheduler.task_ended('u1', outcome(task('w', 6)), 2.0)
+    assert len(scheduler.place(2.0)) == 1
+
+
+def test_task_occupied_before_its_document_is_counted_once():
+    scheduler = Scheduler(ArrivalOrder, FirstFitPlacement())
+    scheduler.occupy(task('w', 0), 'u1')
+    scheduler.occupy(task('w', 0), 'u1')
+    scheduler.set_document(document(limits=Limits(concurrent_tasks=1)), 0.0)
+    scheduler.set_upstream(spec('u1'), available=True, now_s=0.0)
+    scheduler.enqueue(task('w', 1))
+    assert scheduler.place(1.0) == []
+    scheduler.task_ended('u1', outcome(task('w', 0)), 1.0)
+    assert len(scheduler.place(1.0)) == 1
