--- a/packages/core/cactushead_core/entry/tests/cluster.py
+++ b/packages/core/cactushead_core/entry/tests/cluster.py
@@ -124,6 +124,7 @@
     frozen: bool = False
     offset_s: float = 0.0
     rate: float = 1.0
+    tick_due_s: float = 0.0
     inbox: list[Event] = field(default_factory=list)
 
     @property
@@ -338,7 +339,8 @@
         # A thawed process first handles what waited, with its clock of now.
         for event in inbox:
             effects += process.node.reduce(retime(event, now_s))
-        if round(self.now_s / 0.01) % 5 == 0:
+        if self.now_s >= process.tick_due_s:
+            process.tick_due_s = self.now_s + TICK_S
             effects += process.node.reduce(Tick(now_s))
         effects += process.node.reduce(TurnEnded(now_s))
         for effect in effects:
