Write task inputs with pydantic's JSON writer

Cause: of the 2.9 ms that checking a job of 350 tasks took, 0.8 to 1.2 ms were JSONEncoder.encode, which sets up a writer for each input. One input takes 3.8 us with it and 0.5 us with pydantic_core.to_json (timeit of both on {"row": 7, "crate": "a"}). Ruled out: keeping the raw text, for which the standard parser tells no positions inside a text.

It also bounds the nesting of an input at 255 levels, the same in each process, and refuses half a surrogate pair, which upstreams could not read.

--- a/packages/node/cactushead_node/callers/schema.py
+++ b/packages/node/cactushead_node/callers/schema.py
@@ -1,11 +1,11 @@
 """Validation of what callers send: job bodies, keys and queries."""
 
-import json
 import math
 from dataclasses import replace
 from typing import Annotated, Any
 from urllib.parse import parse_qsl
 
+import pydantic_core
 from cactushead_core.errors import Finding, RequestError
 from cactushead_core.jobs import (
     JobId,
@@ -47,9 +47,6 @@
     ]
 
 
-_ENCODER = json.JSONEncoder(separators=(',', ':'), allow_nan=False)
-
-
 def parse_job(body: bytes, job: JobId) -> JobRequest:
     """Checks and returns a submission.
 
@@ -149,16 +146,13 @@
 
 def _task_spec(task: _Task, index: int) -> TaskSpec:
     try:
-        text = _ENCODER.encode(task.input)
-    except RecursionError:
+        input_json = pydantic_core.to_json(task.input)
+    except pydantic_core.PydanticSerializationError:
+        # Nested beyond 255 levels, or a text with half a surrogate pair.
         place = f'{item_place("tasks", index)}.input'
-        finding = Finding(place, 'nested too deeply')
+        finding = Finding(place, 'nested too deeply or not valid Unicode')
         raise RequestError('job', [finding]) from None
-    return TaskSpec(
-        input_json=text.encode('ascii'),
-        cores=task.cores,
-        memory_mb=task.memory_mb,
-    )
+    return TaskSpec(input_json, task.cores, task.memory_mb)
 
 
 def _check_filter(name: str, text: str, earlier: dict[str, str]) -> str:
--- a/packages/node/cactushead_node/callers/tests/test_app.py
+++ b/packages/node/cactushead_node/callers/tests/test_app.py
@@ -145,6 +145,7 @@
         ({'tasks': [TASK | {'cores': -1}]}, ['tasks[0].cores']),
         ({'tasks': [{'input': [1, float('nan')]}]}, ['tasks[0].input[1]']),
         ({'tasks': [{'input': 1, 'gpus': 2}]}, ['tasks[0].gpus']),
+        ({'tasks': [TASK, {'input': '\ud800'}]}, ['tasks[1].input']),
         ({'more': 1, 'kind': 7}, ['kind', 'more']),
     ],
 )
@@ -176,11 +177,14 @@
     assert not requests.events
 
 
-def test_input_nested_near_the_limit_is_answered():
-    for depth in range(850, 1000, 10):
-        nested = b'[' * depth + b']' * depth
-        body = json.dumps(BODY).encode().replace(b'{"row": 7}', nested)
-        assert submit(body).status in {200, 400}
+@pytest.mark.parametrize('depth', [200, 300, 900, 960, 990, 1000, 5000])
+def test_deep_input_is_passed_on_whole_or_refused(depth):
+    nested = b'[' * depth + b']' * depth
+    body = json.dumps(BODY).encode().replace(b'{"row": 7}', nested)
+    requests = FakeRequests()
+    assert submit(body, requests).status == (200 if depth == 200 else 400)
+    arrived = [event.request.tasks[0].input_json for event in requests.events]
+    assert arrived == ([nested] if depth == 200 else [])
 
 
 def test_findings_are_bounded():
