--- /dev/null
+++ b/packages/core/cactushead_core/clock/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of hybrid logical clocks."""
