--- /dev/null
+++ b/packages/core/cactushead_core/observability/model.py
@@ -0,0 +1,78 @@
+"""Value objects of the time line."""
+
+import math
+from dataclasses import dataclass
+
+from ..jobs.model import JobId
+
+
+@dataclass(frozen=True, slots=True)
+class TimelineEvent:
+    """One event in one process.
+
+    Attributes:
+        process: Name of the process.
+        sequence: Number of the event within the process, from 1; a gap shows
+            events that the process has dropped.
+        stamp: Hybrid logical stamp, which orders events of all processes.
+        wall_s: The process's wall clock, in seconds since 1970.
+        kind: What happened; one of the names in `EventKind`.
+        job: The job it is about, if any.
+        task_index: The task it is about, -1 for none.
+        subject: The upstream, service or process that it is about.
+        detail: A short text, such as a cause or a version.
+    """
+
+    process: str
+    sequence: int
+    stamp: int
+    wall_s: float
+    kind: str
+    job: JobId | None = None
+    task_index: int = -1
+    subject: str = ''
+    detail: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class TimelineFilter:
+    """Which events are wanted; the defaults want all.
+
+    Attributes:
+        job: Idempotency key of a job.
+        service: Name of a service.
+        since_s: Earliest wall clock time.
+        until_s: Latest wall clock time.
+    """
+
+    job: str = ''
+    service: str = ''
+    since_s: float = -math.inf
+    until_s: float = math.inf
+
+    def wants(
+        self,
+        wall_s: float,
+        job: JobId | None,
+        subject: str,
+    ) -> bool:
+        """Whether an event passes the filter.
+
+        Examples:
+            >>> wanted = TimelineFilter(service='sample', since_s=5)
+            >>> wanted.wants(6, JobId('sample', 'k1'), '')
+            True
+            >>> wanted.wants(4, JobId('sample', 'k1'), '')
+            False
+
+        Args:
+            wall_s: The event's wall clock time.
+            job: The job it is about, if any.
+            subject: The upstream, service or process that it is about.
+        """
+        if not self.since_s <= wall_s <= self.until_s:
+            return False
+        if self.job and (job is None or job.key != self.job):
+            return False
+        service = subject if job is None else job.service
+        return not self.service or service == self.service
--- /dev/null
+++ b/packages/node/cactushead_node/observability/logs.py
@@ -0,0 +1,118 @@
+"""Log lines of the processes.
+
+Explanation:
+    Each part of a process logs under a logger `cactushead.<part>`, and each
+    line begins with that part, such as `entry: drain begun`. A message may
+    have the part before it already.
+"""
+
+import json
+import logging
+import sys
+from datetime import UTC, datetime
+
+from ..settings import LogForm, LogSettings
+
+ROOT_LOGGER = 'cactushead'
+# Libraries log what goes on at each connection.
+LIBRARY_LEVEL = logging.WARNING
+
+
+class TextFormatter(logging.Formatter):
+    """Lines for people.
+
+    Examples:
+        >>> record = logging.makeLogRecord(
+        ...     {'name': 'cactushead.entry', 'levelname': 'INFO',
+        ...      'msg': 'drain', 'created': 0},
+        ... )
+        >>> TextFormatter().format(record)
+        '1970-01-01T00:00:00.000Z info entry: drain'
+    """
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Returns one record as text.
+
+        Args:
+            record: The record.
+        """
+        line = (
+            f'{_time_text(record)} {record.levelname.lower()} '
+            f'{part_of(record.name)}: {_sentence(record)}'
+        )
+        fault = _fault_text(record)
+        return f'{line}\n{fault}' if fault else line
+
+
+class JsonFormatter(logging.Formatter):
+    """One JSON object a line, for programs.
+
+    Examples:
+        >>> record = logging.makeLogRecord(
+        ...     {'name': 'cactushead.entry', 'levelname': 'INFO',
+        ...      'msg': 'drain', 'created': 0},
+        ... )
+        >>> print(JsonFormatter().format(record))
+        {"time": "1970-01-01T00:00:00.000Z", "level": "info", \
+"part": "entry", "message": "drain"}
+    """
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Returns one record as JSON text.
+
+        Args:
+            record: The record.
+        """
+        fields = {
+            'time': _time_text(record),
+            'level': record.levelname.lower(),
+            'part': part_of(record.name),
+            'message': _sentence(record),
+        }
+        fault = _fault_text(record)
+        if fault:
+            fields['fault'] = fault
+        return json.dumps(fields)
+
+
+def set_up_logs(settings: LogSettings) -> None:
+    """Sends the log of this process to the standard error stream.
+
+    Args:
+        settings: Level and form.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        JsonFormatter() if settings.form is LogForm.JSON else TextFormatter(),
+    )
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(LIBRARY_LEVEL)
+    logging.getLogger(ROOT_LOGGER).setLevel(settings.level.upper())
+
+
+def part_of(logger_name: str) -> str:
+    """Returns the part of the process that a logger belongs to.
+
+    Examples:
+        >>> part_of('cactushead.storage'), part_of('websockets.client')
+        ('storage', 'websockets')
+    """
+    first, _, rest = logger_name.partition('.')
+    return rest or first if first == ROOT_LOGGER else first
+
+
+def _sentence(record: logging.LogRecord) -> str:
+    return record.getMessage().removeprefix(f'{part_of(record.name)}: ')
+
+
+def _time_text(record: logging.LogRecord) -> str:
+    moment = datetime.fromtimestamp(record.created, UTC)
+    text = moment.isoformat(timespec='milliseconds')
+    return text.replace('+00:00', 'Z')
+
+
+def _fault_text(record: logging.LogRecord) -> str:
+    if record.exc_info is None:
+        return ''
+    return logging.Formatter().formatException(record.exc_info)
--- /dev/null
+++ b/packages/node/cactushead_node/observability/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of logs, metrics and the time line."""
