--- a/packages/node/cactushead_node/observability/gather.py
+++ b/packages/node/cactushead_node/observability/gather.py
@@ -54,6 +54,8 @@
         timeline: Timeline,
         send: SendMessage,
         list_peers: ListPeers,
+        *,
+        timeout_s: float = GATHER_TIMEOUT_S,
     ) -> None:
         """Joins the time line with the links.
 
@@ -61,7 +63,9 @@
             timeline: The time line of this process.
             send: Sends a message to a peer.
             list_peers: Names the peers that there are links to.
+            timeout_s: Longest wait for the other processes.
         """
+        self._timeout_s = timeout_s
         self._timeline = timeline
         self._send = send
         self._list_peers = list_peers
@@ -73,7 +77,6 @@
         wanted: TimelineFilter,
         *,
         relay_by: str = '',
-        timeout_s: float = GATHER_TIMEOUT_S,
     ) -> list[TimelineEvent]:
         """Returns the events of all processes in one order.
 
@@ -81,14 +84,13 @@
             wanted: Which events are wanted.
             relay_by: Name of a voter that passes the query on; empty for a
                 process that has links to all others.
-            timeout_s: Longest wait for the other processes.
         """
         query_id = self._next_id
         self._next_id += 1
         gathering = _Gathering(wanted)
         self._gatherings[query_id] = gathering
         try:
-            await self._collect(query_id, relay_by, timeout_s)
+            await self._collect(query_id, relay_by)
         finally:
             self._gatherings.pop(query_id)
         return self._merge(gathering)
@@ -112,19 +114,14 @@
                 return False
         return True
 
-    async def _collect(
-        self,
-        query_id: int,
-        relay_by: str,
-        timeout_s: float,
-    ) -> None:
+    async def _collect(self, query_id: int, relay_by: str) -> None:
         gathering = self._gatherings[query_id]
         peers = (relay_by,) if relay_by else tuple(self._list_peers())
         gathering.awaited.update(zip(peers, peers, strict=True))
         for peer in peers:
             self._ask(query_id, peer, relay=bool(relay_by))
         if peers:
-            with trio.move_on_after(timeout_s):
+            with trio.move_on_after(self._timeout_s):
                 await gathering.done.wait()
 
     def _merge(self, gathering: _Gathering) -> list[TimelineEvent]:
--- a/packages/node/cactushead_node/observability/tests/test_gather.py
+++ b/packages/node/cactushead_node/observability/tests/test_gather.py
@@ -3,7 +3,7 @@
 import trio
 from cactushead_core.effects import EventKind, Record
 from cactushead_core.jobs import JobId
-from cactushead_core.observability import TimelineFilter
+from cactushead_core.observability import TimelineFilter, TimelineQuery
 
 from cactushead_node.observability.gather import NO_ANSWER, TimelineGatherer
 from cactushead_node.observability.timeline import PAGE_EVENTS, Timeline
@@ -14,7 +14,7 @@
 class Network:
     """Delivers messages between gatherers in later loop turns."""
 
-    def __init__(self, links):
+    def __init__(self, links, timeout_s=2.0):
         self.silent = set()
         self.sent = 0
         self.timelines = {name: Timeline(name) for name in links}
@@ -23,6 +23,7 @@
                 self.timelines[name],
                 lambda to, message, name=name: self.send(name, to, message),
                 lambda name=name: links[name],
+                timeout_s=timeout_s,
             )
             for name in links
         }
@@ -97,10 +98,10 @@
 
 
 def test_silent_process_is_named():
-    network = Network(FULL)
+    network = Network(FULL, timeout_s=0.05)
     network.silent.add('a1')
     record(network, 'e2')
-    events = network.gather('e1', timeout_s=0.05)
+    events = network.gather('e1')
     assert [(event.process, event.kind) for event in events] == [
         ('e2', EventKind.STARTED),
         ('a1', NO_ANSWER),
@@ -114,9 +115,9 @@
 
 
 def test_late_page_is_dropped():
-    network = Network(FULL)
+    network = Network(FULL, timeout_s=0.01)
     network.silent.add('e1')
-    network.gather('e1', timeout_s=0.01)
+    network.gather('e1')
     network.silent.clear()
     query = network.gatherers['e1']
     page = network.timelines['e2'].answer(_query('e1'))
@@ -130,6 +131,4 @@
 
 
 def _query(origin):
-    from cactushead_core.observability import TimelineQuery
-
     return TimelineQuery(origin, 1, 'e2', False, 0, ALL)
