Replace the single-voter log by elections and replication

Weighed for formation: every voter may form once all answered; two could then form different memberships around a disk that is lost meanwhile. Weighed for restarts of a follower: taking any lower match at its word; a late answer of an earlier run would then undo progress, so answers carry the message number that they answer and a new run of the process is adopted only for a message sent afterwards.

A learner votes when the candidate's membership names its disk as a voter: it may lack the very entry that promoted it, and losing another voter right then would otherwise leave no majority.

--- a/packages/core/cactushead_core/replication/__init__.py
+++ b/packages/core/cactushead_core/replication/__init__.py
@@ -10,7 +10,8 @@
     SnapshotInstalled,
     SnapshotWanted,
 )
-from .replica import Replica, ReplicaOutput, ReplicaSettings, StoredLog
+from .replica import Replica
+from .settings import ReplicaOutput, ReplicaSettings, StoredLog
 
 __all__ = [
     'EntriesCommitted',
--- /dev/null
+++ b/packages/core/cactushead_core/replication/election.py
@@ -0,0 +1,262 @@
+"""Elections: timeouts, pre-votes and votes.
+
+Explanation:
+    Raft's election (Ongaro and Ousterhout 2014) with pre-vote and with
+    leader stickiness (Ongaro 2014, sections 9.6 and 6.4.1): a replica that
+    heard a leader within the shortest election timeout votes for nobody,
+    not even when the candidate's term is higher. A replica that has just
+    started may have heard a leader before, and waits as long.
+
+    A vote leaves the process only after it is on disk.
+"""
+
+import random
+
+from .messages import VoteReply, VoteRequest
+from .quorum import is_majority
+from .state import ReplicaState, Role
+
+
+class Election:
+    """The part of a replica that elects leaders."""
+
+    def __init__(self, state: ReplicaState) -> None:
+        """Starts the first election timeout.
+
+        Args:
+            state: State of the replica.
+        """
+        self._state = state
+        settings = state.settings
+        seed = f'{settings.seed}/{settings.name}/{settings.incarnation}'
+        self._random = random.Random(seed)
+        self._heard_s = state.now_s
+        self._deadline_s = 0.0
+        self._saved_term = state.term
+        self._saved_vote = state.voted_for
+        self._grants: set[tuple[str, str]] = set()
+        self._restart_timeout()
+
+    @property
+    def heard_s(self) -> float:
+        """When a leader was last heard; the start at first."""
+        return self._heard_s
+
+    def leader_heard(self) -> None:
+        """Notes a message of the present leader."""
+        self._heard_s = self._state.now_s
+        self._restart_timeout()
+
+    def tick(self) -> bool:
+        """Starts an election when no leader is heard.
+
+        Returns:
+            Whether this replica has won.
+        """
+        state = self._state
+        if state.role is Role.LEADER:
+            return False
+        if not state.is_voter:
+            self._forget_silent_leader()
+            return False
+        if len(state.membership.voters()) == 1:
+            if state.role is Role.FOLLOWER:
+                self._become_candidate()
+            return False
+        if state.now_s >= self._deadline_s:
+            self._ask_pre_votes()
+        return False
+
+    def vote_saved(self, term: int, voted_for: str) -> bool:
+        """Takes a `VoteSaved` event: the vote may leave the process.
+
+        Args:
+            term: Term on disk.
+            voted_for: Vote on disk.
+
+        Returns:
+            Whether this replica has won.
+        """
+        self._saved_term = term
+        self._saved_vote = voted_for
+        state = self._state
+        if not voted_for or not self._is_vote_saved():
+            return False
+        if state.role is Role.CANDIDATE:
+            return self._ask_votes()
+        if voted_for != state.settings.name:
+            self._reply(voted_for, state.term, granted=True, pre_vote=False)
+        return False
+
+    def requested(self, request: VoteRequest) -> None:
+        """Answers a candidate.
+
+        Args:
+            request: Its request.
+        """
+        if request.pre_vote:
+            self._answer_pre_vote(request)
+        elif not self._is_sticky():
+            self._answer_vote(request)
+
+    def replied(self, reply: VoteReply) -> bool:
+        """Counts an answer.
+
+        Args:
+            reply: The answer.
+
+        Returns:
+            Whether this replica has won.
+        """
+        state = self._state
+        if not reply.granted:
+            if reply.term > state.term:
+                state.follow(reply.term)
+            return False
+        if reply.pre_vote:
+            self._count_pre_vote(reply)
+            return False
+        if state.role is not Role.CANDIDATE or reply.term != state.term:
+            return False
+        self._grants.add((reply.voter, reply.incarnation))
+        return self._has_majority()
+
+    def _forget_silent_leader(self) -> None:
+        state = self._state
+        if state.leader and state.now_s >= self._deadline_s:
+            state.follow(state.term)
+
+    def _ask_pre_votes(self) -> None:
+        state = self._state
+        state.follow(state.term)
+        state.role = Role.PRE_CANDIDATE
+        self._restart_timeout()
+        self._grants = {self._own_vote()}
+        self._request_votes(state.term + 1, pre_vote=True)
+
+    def _count_pre_vote(self, reply: VoteReply) -> None:
+        state = self._state
+        if state.role is not Role.PRE_CANDIDATE:
+            return
+        if reply.term != state.term + 1:
+            return
+        self._grants.add((reply.voter, reply.incarnation))
+        if self._has_majority():
+            self._become_candidate()
+
+    def _become_candidate(self) -> None:
+        state = self._state
+        state.enter_term(state.term + 1, state.settings.name)
+        state.role = Role.CANDIDATE
+        self._grants = set()
+        self._restart_timeout()
+
+    def _ask_votes(self) -> bool:
+        self._grants.add(self._own_vote())
+        self._request_votes(self._state.term, pre_vote=False)
+        return self._has_majority()
+
+    def _request_votes(self, term: int, *, pre_vote: bool) -> None:
+        state = self._state
+        log = state.log
+        name = state.settings.name
+        for voter in state.membership.voters():
+            if voter.name == name:
+                continue
+            request = VoteRequest(
+                term,
+                name,
+                voter.incarnation,
+                log.last_term,
+                log.last_index,
+                pre_vote,
+            )
+            state.send(voter.name, request)
+
+    def _answer_pre_vote(self, request: VoteRequest) -> None:
+        state = self._state
+        granted = (
+            request.term > state.term
+            and self._is_entitled(request)
+            and not self._is_sticky()
+            and self._is_up_to_date(request)
+        )
+        term = request.term if granted else state.term
+        self._reply(request.candidate, term, granted=granted, pre_vote=True)
+
+    def _answer_vote(self, request: VoteRequest) -> None:
+        state = self._state
+        if request.term < state.term:
+            self._refuse(request)
+            return
+        votes = self._is_entitled(request) and self._is_up_to_date(request)
+        if request.term > state.term:
+            state.follow(request.term, request.candidate if votes else '')
+            self._restart_timeout()
+        elif votes and not state.voted_for:
+            state.cast_vote(request.candidate)
+            self._restart_timeout()
+        if not votes or state.voted_for != request.candidate:
+            self._refuse(request)
+        elif self._is_vote_saved():
+            term = state.term
+            self._reply(request.candidate, term, granted=True, pre_vote=False)
+
+    def _refuse(self, request: VoteRequest) -> None:
+        term = self._state.term
+        self._reply(request.candidate, term, granted=False, pre_vote=False)
+
+    def _reply(
+        self,
+        candidate: str,
+        term: int,
+        *,
+        granted: bool,
+        pre_vote: bool,
+    ) -> None:
+        name, incarnation = self._own_vote()
+        reply = VoteReply(term, name, incarnation, granted, pre_vote)
+        self._state.send(candidate, reply)
+
+    def _is_sticky(self) -> bool:
+        state = self._state
+        if state.role is Role.LEADER:
+            return True
+        silence_s = state.now_s - self._heard_s
+        return silence_s < state.settings.election_timeout_s
+
+    def _is_entitled(self, request: VoteRequest) -> bool:
+        """Whether this disk has a vote, by the candidate's membership.
+
+        A learner may not have the entry yet that gave it a vote; without
+        its vote that entry could be stuck.
+        """
+        state = self._state
+        is_asked = request.incarnation == state.settings.incarnation
+        return is_asked and bool(state.membership.members)
+
+    def _is_up_to_date(self, request: VoteRequest) -> bool:
+        log = self._state.log
+        theirs = (request.last_term, request.last_index)
+        return theirs >= (log.last_term, log.last_index)
+
+    def _is_vote_saved(self) -> bool:
+        state = self._state
+        saved = (self._saved_term, self._saved_vote)
+        return saved == (state.term, state.voted_for)
+
+    def _has_majority(self) -> bool:
+        voters = self._state.membership.voters()
+        votes = sum(
+            (voter.name, voter.incarnation) in self._grants for voter in voters
+        )
+        return is_majority(votes, len(voters))
+
+    def _own_vote(self) -> tuple[str, str]:
+        settings = self._state.settings
+        return settings.name, settings.incarnation
+
+    def _restart_timeout(self) -> None:
+        shortest_s = self._state.settings.election_timeout_s
+        jitter_s = self._random.random() * shortest_s
+        self._deadline_s = self._state.now_s + shortest_s + jitter_s
--- /dev/null
+++ b/packages/core/cactushead_core/replication/follower.py
@@ -0,0 +1,221 @@
+"""What a follower does with the leader's entries and snapshots."""
+
+from dataclasses import dataclass, field
+
+from ..effects import LogEntry
+from .invariants import require
+from .messages import (
+    AppendEntries,
+    AppendReply,
+    InstallSnapshot,
+    SnapshotReply,
+)
+from .state import ReplicaState, Role, Snapshot
+
+
+@dataclass(slots=True)
+class Assembly:
+    """A snapshot that is being received.
+
+    Attributes:
+        term: Term of the last entry that it covers.
+        index: Its index.
+        state: The bytes so far.
+    """
+
+    term: int = 0
+    index: int = 0
+    state: bytearray = field(default_factory=bytearray)
+
+
+class Follower:
+    """The part of a replica that follows a leader.
+
+    Explanation:
+        The verified index is the end of what this term's leader is known to
+        have as well; entries behind it may be of an earlier leader, and
+        neither count as acknowledged nor are applied.
+    """
+
+    def __init__(self, state: ReplicaState) -> None:
+        """Starts without a leader.
+
+        Args:
+            state: State of the replica.
+        """
+        self._state = state
+        self._verified_term = 0
+        self._verified_index = 0
+        self._assembly = Assembly()
+        self._reply_due = False
+        self._reported_synced_index = 0
+        self._sequence = 0
+        self._echo_s = 0.0
+
+    def entries_received(self, message: AppendEntries) -> None:
+        """Takes entries of the present term's leader.
+
+        Args:
+            message: The entries.
+        """
+        self._note_message(message)
+        previous = message.previous_index
+        if not self._agrees(previous, message.previous_term):
+            self._reject(previous)
+            return
+        self._reply_due = True
+        self._take(message)
+        last = previous + len(message.commands)
+        self._verified_index = max(self._verified_index, last)
+        self._commit(message.committed_index)
+
+    def part_received(self, message: InstallSnapshot) -> None:
+        """Takes a part of a snapshot of the present term's leader.
+
+        Args:
+            message: The part.
+        """
+        self._note_message(message)
+        if message.snapshot_index <= self._state.committed_index:
+            self._reply_due = True
+            return
+        self._assemble(message)
+        assembly = self._assembly
+        if len(assembly.state) < message.size_bytes:
+            self._reply_part()
+            return
+        self._install(message)
+
+    def synced(self) -> None:
+        """Notes that more of the log may be on disk."""
+        state = self._state
+        follows = state.role is Role.FOLLOWER and bool(state.leader)
+        if follows and self._synced_index() > self._reported_synced_index:
+            self._reply_due = True
+
+    def turn_ended(self) -> None:
+        """Sends one acknowledgement for all that the turn brought."""
+        if self._reply_due and self._state.role is Role.FOLLOWER:
+            self._reply(rejected_index=0, hint_index=0)
+        self._reply_due = False
+
+    def _note_message(self, message: AppendEntries | InstallSnapshot) -> None:
+        if message.term != self._verified_term:
+            self._verified_term = message.term
+            self._verified_index = 0
+            self._reported_synced_index = 0
+            self._assembly = Assembly()
+            self._sequence = 0
+        if message.sequence > self._sequence:
+            self._sequence = message.sequence
+            self._echo_s = message.sent_s
+
+    def _agrees(self, index: int, term: int) -> bool:
+        state = self._state
+        log = state.log
+        if not log.holds(index):
+            return index < log.base_index
+        agrees = log.term_at(index) == term
+        require(
+            agrees or index > state.committed_index,
+            f'leader of term {state.term} has no committed entry {index}',
+        )
+        return agrees
+
+    def _take(self, message: AppendEntries) -> None:
+        state = self._state
+        first = message.previous_index + 1
+        last = message.previous_index + len(message.commands)
+        known = self._known_until(first, last, message.entry_term)
+        if known >= last:
+            return
+        if known < state.log.last_index:
+            require(
+                known >= self._verified_index,
+                f'cut behind {known} of verified {self._verified_index}',
+            )
+            state.cut_from(known + 1)
+        term = message.entry_term
+        fresh = message.commands[known + 1 - first :]
+        entries = [
+            LogEntry(term, index, command)
+            for index, command in enumerate(fresh, known + 1)
+        ]
+        state.log.append(entries)
+        state.membership.observe(entries)
+
+    def _known_until(self, first: int, last: int, term: int) -> int:
+        """Returns the end of the entries that are held already."""
+        state = self._state
+        log = state.log
+        index = max(first - 1, min(last, state.committed_index))
+        end = min(last, log.last_index)
+        while index < end and log.term_at(index + 1) == term:
+            index += 1
+        return index
+
+    def _commit(self, committed_index: int) -> None:
+        self._state.commit_to(min(committed_index, self._verified_index))
+
+    def _reject(self, previous_index: int) -> None:
+        state = self._state
+        hint = state.log.last_index
+        if hint >= previous_index:
+            hint = max(state.committed_index, self._verified_index)
+        self._reply(previous_index, hint)
+
+    def _reply(self, rejected_index: int, hint_index: int) -> None:
+        state = self._state
+        self._reported_synced_index = self._synced_index()
+        reply = AppendReply(
+            state.term,
+            state.settings.name,
+            state.settings.incarnation,
+            self._match_index(),
+            self._reported_synced_index,
+            rejected_index,
+            hint_index,
+            self._sequence,
+            self._echo_s,
+        )
+        state.send(state.leader, reply)
+
+    def _match_index(self) -> int:
+        return max(self._verified_index, self._state.committed_index)
+
+    def _synced_index(self) -> int:
+        return min(self._state.disk.synced_index, self._match_index())
+
+    def _assemble(self, message: InstallSnapshot) -> None:
+        assembly = self._assembly
+        described = (message.snapshot_term, message.snapshot_index)
+        if (assembly.term, assembly.index) != described:
+            assembly = Assembly(*described)
+            self._assembly = assembly
+        if message.offset_bytes == len(assembly.state):
+            assembly.state.extend(message.part)
+
+    def _install(self, message: InstallSnapshot) -> None:
+        self._state.install_snapshot(
+            Snapshot(
+                message.snapshot_term,
+                message.snapshot_index,
+                message.members,
+                bytes(self._assembly.state),
+            ),
+        )
+        self._assembly = Assembly()
+        self._reply_due = True
+
+    def _reply_part(self) -> None:
+        state = self._state
+        reply = SnapshotReply(
+            state.term,
+            state.settings.name,
+            state.settings.incarnation,
+            self._assembly.index,
+            len(self._assembly.state),
+            self._sequence,
+            self._echo_s,
+        )
+        state.send(state.leader, reply)
--- /dev/null
+++ b/packages/core/cactushead_core/replication/formation.py
@@ -0,0 +1,162 @@
+"""How a cell is formed, and how a disk finds the cell it belongs to.
+
+Explanation:
+    Only the listed voter with the smallest name forms a cell, and only
+    after each listed voter has answered one and the same question that its
+    disk is empty. Such an answer makes void all answers that the answering
+    voter still waits for, so it can't learn afterwards of a membership that
+    a lost disk of the forming voter once made. The membership is the log's
+    first entry, with the pairs of name and disk incarnation. The other
+    voters adopt it when their own pair is in it. A disk that is not in it
+    is new: it votes for nobody until a leader has admitted it.
+"""
+
+from ..effects import LogEntry
+from .membership import (
+    Members,
+    decode_members,
+    encode_members,
+    is_voter,
+)
+from .messages import Member, MembershipQuery, MembershipReport
+from .state import ReplicaState, Role
+
+FORMATION_TERM = 1
+FORMATION_INDEX = 1
+SILENT_TIMEOUTS = 3
+
+
+class Formation:
+    """The part of a replica that finds or forms its cell."""
+
+    def __init__(self, state: ReplicaState) -> None:
+        """Starts without answers.
+
+        Args:
+            state: State of the replica.
+        """
+        self._state = state
+        self._voters = tuple(sorted(state.settings.voters))
+        self._answers: dict[str, str] = {}
+        self._questions = 0
+        self._query_id = ''
+        self._asked_s = float('-inf')
+        self._start_question()
+
+    def tick(self, heard_s: float) -> None:
+        """Asks the other voters, when there is something to ask.
+
+        Args:
+            heard_s: When a leader was last heard.
+        """
+        state = self._state
+        if state.is_empty and self._is_former():
+            self._form_when_complete()
+        if self._knows_enough(heard_s):
+            return
+        if state.now_s - self._asked_s < state.settings.heartbeat_s:
+            return
+        self._asked_s = state.now_s
+        query = MembershipQuery(
+            state.settings.name,
+            state.settings.incarnation,
+            self._voters,
+            self._query_id,
+        )
+        for name in self._voters:
+            if name != state.settings.name:
+                state.send(name, query)
+
+    def asked(self, query: MembershipQuery) -> None:
+        """Answers a question.
+
+        Args:
+            query: The question.
+        """
+        state = self._state
+        members = state.membership.members
+        if not members:
+            if tuple(sorted(query.voters)) != self._voters:
+                return
+            if query.name == self._voters[0]:
+                self._start_question()
+        report = MembershipReport(
+            state.settings.name,
+            state.settings.incarnation,
+            query.query_id,
+            self._formation_command(),
+            members,
+        )
+        state.send(query.name, report)
+
+    def reported(self, report: MembershipReport) -> None:
+        """Takes an answer to the present question.
+
+        Args:
+            report: The answer.
+        """
+        if report.query_id != self._query_id or not self._state.is_empty:
+            return
+        if report.members:
+            self._answers = {}
+            self._adopt(report)
+        elif report.name in self._voters:
+            self._answers[report.name] = report.incarnation
+            if self._is_former():
+                self._form_when_complete()
+
+    def _knows_enough(self, heard_s: float) -> bool:
+        state = self._state
+        if state.role is Role.LEADER or len(self._voters) == 1:
+            return True
+        if not state.is_voter:
+            return False
+        silence_s = state.now_s - heard_s
+        return silence_s < SILENT_TIMEOUTS * state.settings.election_timeout_s
+
+    def _is_former(self) -> bool:
+        return self._state.settings.name == self._voters[0]
+
+    def _form_when_complete(self) -> None:
+        settings = self._state.settings
+        answers = {**self._answers, settings.name: settings.incarnation}
+        if self._state.membership.members or len(answers) < len(self._voters):
+            return
+        members = tuple(
+            Member(name, answers[name], votes=True) for name in self._voters
+        )
+        self._append(members)
+
+    def _adopt(self, report: MembershipReport) -> None:
+        state = self._state
+        name = state.settings.name
+        incarnation = state.settings.incarnation
+        initial = decode_members(report.formation)
+        if is_voter(initial, name, incarnation):
+            self._append(initial)
+        elif is_voter(report.members, name, incarnation):
+            state.membership.adopt(report.members)
+
+    def _append(self, members: Members) -> None:
+        state = self._state
+        if state.term < FORMATION_TERM:
+            state.enter_term(FORMATION_TERM)
+        command = encode_members(members)
+        entry = LogEntry(FORMATION_TERM, FORMATION_INDEX, command)
+        state.log.append([entry])
+        state.membership.observe([entry])
+        state.write_log()
+
+    def _formation_command(self) -> bytes:
+        log = self._state.log
+        if log.base_index > 0 or log.last_index == 0:
+            return b''
+        return log.entry(FORMATION_INDEX).command
+
+    def _start_question(self) -> None:
+        settings = self._state.settings
+        self._questions += 1
+        self._answers = {}
+        self._query_id = (
+            f'{settings.incarnation}/{self._state.now_s!r}/{self._questions}'
+        )
--- /dev/null
+++ b/packages/core/cactushead_core/replication/invariants.py
@@ -0,0 +1,21 @@
+"""Checks that stay on in production."""
+
+from ..errors import CactusheadError
+
+
+class ReplicationInvariantError(CactusheadError):
+    """The replicated log is in a state that must never occur."""
+
+
+def require(holds: bool, claim: str) -> None:
+    """Raises unless a claim holds.
+
+    Args:
+        holds: Whether it holds.
+        claim: What must hold, with the offending values.
+
+    Raises:
+        ReplicationInvariantError: The claim doesn't hold.
+    """
+    if not holds:
+        raise ReplicationInvariantError(claim)
--- /dev/null
+++ b/packages/core/cactushead_core/replication/leader.py
@@ -0,0 +1,264 @@
+"""What a leader does: append, replicate, commit, change the membership.
+
+Explanation:
+    A memory commit says that a majority holds an entry; it may be lost if
+    voters restart before they sync and the leader changes. A synced commit
+    is final. Both count from the leader's own first entry on (Ongaro and
+    Ousterhout 2014, section 5.4.2).
+"""
+
+from ..effects import LogEntry
+from .invariants import require
+from .membership import (
+    Members,
+    encode_members,
+    find_member,
+    promote,
+    replace_disk,
+)
+from .messages import AppendReply, Member, SnapshotReply
+from .notices import LeaderReady, MemoryCommitted
+from .progress import Progress, Transfer
+from .quorum import majority_value
+from .sender import Sender
+from .state import ReplicaState, Role
+
+
+class Leader:
+    """The part of a replica that leads one term."""
+
+    def __init__(self, state: ReplicaState) -> None:
+        """Takes over after a won election.
+
+        Args:
+            state: State of the replica.
+        """
+        require(
+            state.role is Role.CANDIDATE,
+            f'a {state.role} leads term {state.term}',
+        )
+        state.role = Role.LEADER
+        state.learn_leader(state.settings.name)
+        self.term = state.term
+        self._state = state
+        self._sender = Sender(state)
+        self._elected_s = state.now_s
+        self._first_index = state.log.last_index + 1
+        self._memory_index = 0
+        self._ready = False
+        self._peers: dict[str, Progress] = {}
+        self._applicants: dict[str, str] = {}
+        self._refresh_peers()
+        self.append([b''])
+
+    def append(self, commands: list[bytes]) -> int:
+        """Appends commands; they leave at the end of the turn.
+
+        Args:
+            commands: Encoded records.
+
+        Returns:
+            Index of the last entry.
+        """
+        log = self._state.log
+        term = self.term
+        entries = [
+            LogEntry(term, index, command)
+            for index, command in enumerate(commands, log.last_index + 1)
+        ]
+        log.append(entries)
+        return log.last_index
+
+    def has_quorum(self, now_s: float) -> bool:
+        """Whether a majority surely still refuses other candidates.
+
+        Args:
+            now_s: Monotonic clock.
+        """
+        settings = self._state.settings
+        margin = (1 - settings.drift) / (1 + settings.drift)
+        confirmed_s = self._majority_confirmed_s(now_s)
+        return now_s - confirmed_s < settings.election_timeout_s * margin
+
+    def turn_ended(self) -> None:
+        """Sends the turn's entries to the disk and to the members."""
+        self._state.write_log()
+        for progress in self._peers.values():
+            self._sender.turn_ended(progress)
+        self.advance()
+
+    def tick(self) -> None:
+        """Sends heartbeats; steps down when no majority answers."""
+        state = self._state
+        quorum_s = self._majority_confirmed_s(state.now_s)
+        silence_s = state.now_s - max(quorum_s, self._elected_s)
+        if silence_s > state.settings.election_timeout_s:
+            state.follow(state.term)
+            return
+        for progress in self._peers.values():
+            self._sender.tick(progress)
+        self._change_membership()
+
+    def replied(self, session: str, reply: AppendReply) -> None:
+        """Takes a member's acknowledgement.
+
+        Args:
+            session: Incarnation of the member's process.
+            reply: The acknowledgement.
+        """
+        progress = self._admit(session, reply)
+        if progress is None:
+            return
+        require(
+            reply.match_index <= self._state.log.last_index,
+            f'{reply.follower} matches up to {reply.match_index}, behind the'
+            f' last entry {self._state.log.last_index}',
+        )
+        now_s = self._state.now_s
+        transfer = progress.transfer
+        if transfer and reply.match_index >= transfer.snapshot.index:
+            progress.transfer = None
+        progress.acknowledge(reply.match_index, reply.synced_index, now_s)
+        if reply.rejected_index:
+            progress.reject(reply.rejected_index, reply.hint_index)
+        self.advance()
+
+    def part_replied(self, session: str, reply: SnapshotReply) -> None:
+        """Sends the next part of a snapshot.
+
+        Args:
+            session: Incarnation of the member's process.
+            reply: How much of the snapshot the member has.
+        """
+        progress = self._admit(session, reply)
+        if progress is None or progress.transfer is None:
+            return
+        snapshot = progress.transfer.snapshot
+        if reply.snapshot_index != snapshot.index:
+            return
+        if reply.received_bytes != progress.transfer.offset_bytes:
+            progress.transfer = Transfer(snapshot, reply.received_bytes)
+            progress.send_due = True
+
+    def peer_connected(self, name: str) -> None:
+        """Finds out at once what a peer holds whose link is new."""
+        progress = self._peers.get(name)
+        if progress is not None:
+            progress.restart_probing()
+
+    def applied(self, name: str, incarnation: str) -> None:
+        """Notes that a disk asks to take part.
+
+        Args:
+            name: Name of its process.
+            incarnation: Incarnation of the disk.
+        """
+        self._applicants[name] = incarnation
+
+    def advance(self) -> None:
+        """Commits what a majority holds."""
+        state = self._state
+        peers = self._voting_peers()
+        memory = [progress.match_index for progress in peers]
+        memory_index = majority_value([state.log.last_index, *memory])
+        if memory_index > max(self._memory_index, self._first_index - 1):
+            self._memory_index = memory_index
+            state.output.notices.append(MemoryCommitted(memory_index))
+        synced = [progress.synced_index for progress in peers]
+        synced_index = majority_value([state.disk.synced_index, *synced])
+        if synced_index > state.committed_index:
+            self._commit(synced_index)
+
+    def _commit(self, index: int) -> None:
+        state = self._state
+        if state.log.term_at(index) != self.term:
+            return
+        state.commit_to(index)
+        if not self._ready:
+            self._ready = True
+            state.output.notices.append(LeaderReady(self.term))
+
+    def _admit(
+        self,
+        session: str,
+        reply: AppendReply | SnapshotReply,
+    ) -> Progress | None:
+        progress = self._peers.get(reply.follower)
+        if progress is None or progress.incarnation != reply.incarnation:
+            return None
+        if not progress.admit_session(session, reply.sequence):
+            return None
+        progress.confirm(reply.echo_s, self._state.now_s)
+        return progress
+
+    def _voting_peers(self) -> list[Progress]:
+        own_name = self._state.settings.name
+        return [
+            self._peers[voter.name]
+            for voter in self._state.membership.voters()
+            if voter.name != own_name
+        ]
+
+    def _majority_confirmed_s(self, now_s: float) -> float:
+        peers = self._voting_peers()
+        confirmed = [progress.confirmed_s for progress in peers]
+        return majority_value([now_s, *confirmed])
+
+    def _refresh_peers(self) -> None:
+        peers: dict[str, Progress] = {}
+        for member in self._state.membership.members:
+            if member.name != self._state.settings.name:
+                peers[member.name] = self._progress_of(member)
+        self._peers = peers
+
+    def _progress_of(self, member: Member) -> Progress:
+        known = self._peers.get(member.name)
+        if known is not None and known.incarnation == member.incarnation:
+            return known
+        state = self._state
+        return Progress(member, state.log.last_index, state.now_s)
+
+    def _change_membership(self) -> None:
+        """Proposes the next change once the last one is committed."""
+        state = self._state
+        members = state.membership.members
+        applicants = self._applicants
+        self._applicants = {}
+        if not self._ready or state.membership.index > state.committed_index:
+            return
+        changed = self._replace_silent(members, applicants)
+        if changed == members:
+            changed = self._promote_learner(members)
+        if changed == members:
+            return
+        index = self.append([encode_members(changed)])
+        state.membership.observe([state.log.entry(index)])
+        self._refresh_peers()
+
+    def _replace_silent(
+        self,
+        members: Members,
+        applicants: dict[str, str],
+    ) -> Members:
+        for name, incarnation in applicants.items():
+            progress = self._peers.get(name)
+            if progress is None or progress.incarnation == incarnation:
+                continue
+            if self._is_silent(progress) and find_member(members, name):
+                return replace_disk(members, name, incarnation)
+        return members
+
+    def _is_silent(self, progress: Progress) -> bool:
+        silence_s = self._state.now_s - progress.heard_s
+        return silence_s > self._state.settings.election_timeout_s
+
+    def _promote_learner(self, members: Members) -> Members:
+        committed = self._state.committed_index
+        for member in members:
+            progress = self._peers.get(member.name)
+            if member.votes or progress is None:
+                continue
+            caught_up = progress.synced_index >= committed
+            if caught_up and not self._is_silent(progress):
+                return promote(members, member.name)
+        return members
--- a/packages/core/cactushead_core/replication/replica.py
+++ b/packages/core/cactushead_core/replication/replica.py
@@ -1,76 +1,21 @@
 """One voter's part of the replicated log."""
 
-from dataclasses import dataclass, field
-
-from ..effects import AppendLog, Effect, LogEntry
-from ..events import Event, LogSynced, Tick
-from .notices import (
-    EntriesCommitted,
-    LeaderKnown,
-    LeaderReady,
-    MemoryCommitted,
-    Notice,
+from ..events import (
+    Event,
+    LogSynced,
+    MessageReceived,
+    PeerConnected,
+    SnapshotSaved,
+    Tick,
+    TurnEnded,
+    VoteSaved,
 )
-
-
-@dataclass(frozen=True, slots=True)
-class ReplicaSettings:
-    """Settings of a replica.
-
-    Attributes:
-        name: Name of this voter.
-        incarnation: Incarnation of the voter's disk, made when it was empty.
-        voters: Names of the voters that form the cell.
-        heartbeat_s: Time between the leader's heartbeats.
-        election_timeout_s: Shortest silence before an election; the longest
-            is twice as long.
-        snapshot_entries: Log length that asks for a snapshot.
-        seed: Seed of the election jitter.
-    """
-
-    name: str
-    incarnation: str
-    voters: tuple[str, ...]
-    heartbeat_s: float = 0.15
-    election_timeout_s: float = 0.6
-    snapshot_entries: int = 10_000
-    seed: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class StoredLog:
-    """What the disk held when the process started.
-
-    Attributes:
-        term: Saved term, 0 for an empty disk.
-        voted_for: Saved vote.
-        snapshot_term: Term of the last entry in the snapshot.
-        snapshot_index: Index of that entry, 0 for no snapshot.
-        members: Encoded membership of the snapshot.
-        state: Encoded replicated state of the snapshot.
-        entries: Entries after the snapshot.
-    """
-
-    term: int = 0
-    voted_for: str = ''
-    snapshot_term: int = 0
-    snapshot_index: int = 0
-    members: bytes = b''
-    state: bytes = b''
-    entries: tuple[LogEntry, ...] = ()
-
-
-@dataclass(slots=True)
-class ReplicaOutput:
-    """Effects for the shell and notices for the state machine.
-
-    Attributes:
-        effects: Effects, in order.
-        notices: Notices, in order.
-    """
-
-    effects: list[Effect] = field(default_factory=list)
-    notices: list[Notice] = field(default_factory=list)
+from .invariants import ReplicationInvariantError, require
+from .membership import encode_members
+from .notices import SnapshotWanted
+from .receiver import Parts, Receiver
+from .settings import ReplicaOutput, ReplicaSettings, StoredLog
+from .state import ReplicaState, Role, Snapshot
 
 
 class Replica:
@@ -80,6 +25,10 @@
         The owner passes every event to `handle`, proposes commands while
         the replica leads, and carries out what the output says. Appends of
         one loop turn leave as one message per peer at `TurnEnded`.
+
+        The protocol is Raft (Ongaro and Ousterhout 2014) with the parts of
+        Ongaro's thesis of 2014 on pre-votes, leader leases and membership
+        changes of one vote at a time.
     """
 
     def __init__(
@@ -96,34 +45,57 @@
             now_s: Monotonic clock.
         """
         self.settings = settings
-        self.term = stored.term
-        self.leader = ''
-        self._entries = list(stored.entries)
-        self._unsent: list[LogEntry] = []
-        self._committed = 0
-        self._ready = False
+        self._state = ReplicaState(settings, stored, now_s)
+        self._parts = Parts(self._state)
+        self._receiver = Receiver(self._parts)
+        self._state.announce_stored_snapshot()
+        self._handlers = {
+            Tick: self._tick,
+            TurnEnded: self._turn_ended,
+            MessageReceived: self._message,
+            LogSynced: self._log_synced,
+            VoteSaved: self._vote_saved,
+            SnapshotSaved: self._snapshot_saved,
+            PeerConnected: self._peer_connected,
+        }
+
+    @property
+    def term(self) -> int:
+        """The present term."""
+        return self._state.term
+
+    @property
+    def leader(self) -> str:
+        """Name of the leader, empty when it is unknown."""
+        return self._state.leader
 
     @property
     def last_index(self) -> int:
         """Index of the last entry that this voter holds."""
-        return len(self._entries)
+        return self._state.log.last_index
+
+    @property
+    def committed_index(self) -> int:
+        """Index of the last entry given to the state machine."""
+        return self._state.committed_index
 
     @property
     def leads(self) -> bool:
         """Whether this voter is the leader of its term."""
-        return self.leader == self.settings.name
+        return self._state.role is Role.LEADER
 
     def has_quorum(self, now_s: float) -> bool:
         """Whether no other leader can have been elected yet.
 
         Explanation:
-            A majority confirmed this leader within the shortest election
-            timeout, less the allowed clock drift.
+            A majority answered messages that were sent within the shortest
+            election timeout, less the allowed clock drift.
 
         Args:
             now_s: Monotonic clock.
         """
-        return self.leads
+        leader = self._parts.leading()
+        return leader is not None and leader.has_quorum(now_s)
 
     def propose(self, commands: list[bytes]) -> int:
         """Appends commands as entries; only the leader may call it.
@@ -134,11 +106,12 @@
         Returns:
             Index of the last of them.
         """
-        for command in commands:
-            entry = LogEntry(self.term, self.last_index + 1, command)
-            self._entries.append(entry)
-            self._unsent.append(entry)
-        return self.last_index
+        leader = self._parts.leading()
+        if leader is None:
+            raise ReplicationInvariantError(
+                f'{self.settings.name} proposes but does not lead',
+            )
+        return leader.append(commands)
 
     def compact(self, index: int, state: bytes) -> ReplicaOutput:
         """Replaces the log up to an index by a snapshot of the state there.
@@ -150,7 +123,21 @@
         Returns:
             The effects.
         """
-        return ReplicaOutput()
+        shared = self._state
+        require(
+            index <= shared.committed_index,
+            f'snapshot {index} is behind commit {shared.committed_index}',
+        )
+        if index <= shared.snapshot.index:
+            return ReplicaOutput()
+        term = shared.log.term_at(index)
+        members = encode_members(shared.membership.at(index))
+        effects = shared.output.effects
+        kept = len(effects)
+        shared.save_snapshot(Snapshot(term, index, members, state))
+        output = ReplicaOutput(effects[kept:])
+        del effects[kept:]
+        return output
 
     def handle(self, event: Event) -> ReplicaOutput:
         """Reduces one event.
@@ -161,26 +148,57 @@
         Returns:
             Effects and notices.
         """
-        output = ReplicaOutput()
-        if isinstance(event, Tick) and not self.leader:
-            self.term += 1
-            self.leader = self.settings.name
-            output.notices.append(LeaderKnown(self.term, self.leader))
-            self.propose([b''])
-        if isinstance(event, LogSynced):
-            self._commit(event.index, output)
-        if self._unsent:
-            output.effects.append(AppendLog(tuple(self._unsent)))
-            output.notices.append(MemoryCommitted(self.last_index))
-            self._unsent = []
-        return output
-
-    def _commit(self, index: int, output: ReplicaOutput) -> None:
-        if index <= self._committed:
+        handler = self._handlers.get(type(event))
+        if handler is not None:
+            self._state.now_s = event.now_s
+            handler(event)
+        return self._state.take_output()
+
+    def _tick(self, event: Tick) -> None:
+        self._parts.formation.tick(self._parts.election.heard_s)
+        self._parts.lead_if(self._parts.election.tick())
+        leader = self._parts.leading()
+        if leader is not None:
+            leader.tick()
+        self._want_snapshot()
+
+    def _turn_ended(self, event: TurnEnded) -> None:
+        leader = self._parts.leading()
+        if leader is not None:
+            leader.turn_ended()
+            return
+        self._state.write_log()
+        self._parts.follower.turn_ended()
+
+    def _message(self, event: MessageReceived) -> None:
+        self._receiver.receive(event.sender, event.message)
+
+    def _log_synced(self, event: LogSynced) -> None:
+        self._state.disk.confirmed(event.term, event.index)
+        leader = self._parts.leading()
+        if leader is None:
+            self._parts.follower.synced()
+        else:
+            leader.advance()
+
+    def _vote_saved(self, event: VoteSaved) -> None:
+        won = self._parts.election.vote_saved(event.term, event.voted_for)
+        self._parts.lead_if(won)
+
+    def _snapshot_saved(self, event: SnapshotSaved) -> None:
+        self._state.snapshot_saved(event.term, event.index)
+        if not self.leads:
+            self._parts.follower.synced()
+
+    def _peer_connected(self, event: PeerConnected) -> None:
+        leader = self._parts.leading()
+        if leader is not None:
+            leader.peer_connected(event.peer.name)
+
+    def _want_snapshot(self) -> None:
+        state = self._state
+        length = state.committed_index - state.snapshot.index
+        if state.snapshot_pending:
             return
-        entries = tuple(self._entries[self._committed : index])
-        self._committed = index
-        output.notices.append(EntriesCommitted(entries))
-        if not self._ready:
-            self._ready = True
-            output.notices.append(LeaderReady(self.term))
+        if length > self.settings.snapshot_entries:
+            state.output.notices.append(SnapshotWanted())
