Add the cluster script and the sample upstream as a process

Ports are fixed offsets of one base port below the range that the system takes for outgoing connections, so that a killed process finds its port free again.

--- a/packages/node/cactushead_node/main.py
+++ b/packages/node/cactushead_node/main.py
@@ -28,7 +28,7 @@
 EXIT_BAD_USE = 2
 LOOPBACK = '127.0.0.1'
 
-_PLAIN_LENGTH = 3
+_PLAIN_OPTIONS = (['--settings'], ['--settings', '--log_file'])
 _COMPOSITIONS = {
     Role.ENTRY: ('.composition.entry', 'EntryProcess'),
     Role.AGENT: ('.composition.agent', 'AgentProcess'),
@@ -39,27 +39,32 @@
 class Daemon:
     """Runs one process of the cactushead dispatcher."""
 
-    def entry(self, settings: str) -> None:
+    def entry(self, settings: str, log_file: str = '') -> None:
         """Runs an entry, which accepts callers and operators.
 
         Args:
             settings: JSON file of the entry's settings.
+            log_file: File that log lines are appended to; else stderr.
         """
-        _run(Role.ENTRY, parse_settings(_read_file(settings), Role.ENTRY))
+        chosen = parse_settings(_read_file(settings), Role.ENTRY)
+        _run(Role.ENTRY, chosen, log_file)
 
-    def agent(self, settings: str) -> None:
+    def agent(self, settings: str, log_file: str = '') -> None:
         """Runs an agent beside its upstream.
 
         Args:
             settings: JSON file of the agent's settings.
+            log_file: File that log lines are appended to; else stderr.
         """
-        _run(Role.AGENT, parse_settings(_read_file(settings), Role.AGENT))
+        chosen = parse_settings(_read_file(settings), Role.AGENT)
+        _run(Role.AGENT, chosen, log_file)
 
     def local(
         self,
         settings: str = '',
         data_dir: str = '',
         port: int = 0,
+        log_file: str = '',
     ) -> None:
         """Runs a whole small system with a sample service.
 
@@ -67,6 +72,7 @@
             settings: JSON file of settings, empty for the defaults.
             data_dir: Folder of its state, in place of that of the settings.
             port: Port for callers on loopback, in place of the settings'.
+            log_file: File that log lines are appended to; else stderr.
         """
         body = _read_file(settings) if settings else b'{}'
         chosen = parse_settings(body, Role.LOCAL)
@@ -74,7 +80,7 @@
             chosen = replace(chosen, data_dir=str(data_dir))
         if port:
             chosen = replace(chosen, callers=Address(LOOPBACK, port))
-        _run(Role.LOCAL, chosen)
+        _run(Role.LOCAL, chosen, log_file)
 
 
 def main() -> None:
@@ -98,9 +104,8 @@
         The plain call of an agent goes past fire, whose import alone takes
         a tenth of the agent's memory.
     """
-    plain = len(arguments) == _PLAIN_LENGTH
-    if plain and arguments[:2] == [Role.AGENT, '--settings']:
-        Daemon().agent(arguments[2])
+    if _is_plain_agent(arguments):
+        Daemon().agent(*arguments[2::2])
         return
     if not arguments:
         _complain('name a role: entry, agent or local; see --help')
@@ -109,13 +114,20 @@
     fire.Fire(Daemon, command=arguments, name='cactusheadd')
 
 
+def _is_plain_agent(arguments: list[str]) -> bool:
+    options = arguments[1::2]
+    paired = len(arguments) == 1 + 2 * len(options)
+    return paired and arguments[0] == Role.AGENT and options in _PLAIN_OPTIONS
+
+
 def _run(
     role: Role,
     settings: EntrySettings | AgentSettings | LocalSettings,
+    log_file: str,
 ) -> None:
     module, name = _COMPOSITIONS[role]
     make_process = getattr(import_module(module, __package__), name)
-    run_process(make_process(settings), settings.log)
+    run_process(make_process(settings), settings.log, str(log_file))
 
 
 def _read_file(path: str) -> bytes:
--- a/packages/node/cactushead_node/runner.py
+++ b/packages/node/cactushead_node/runner.py
@@ -25,17 +25,22 @@
         """Runs until it is stopped and has drained."""
 
 
-def run_process(process: Process, log: LogSettings) -> None:
+def run_process(
+    process: Process,
+    log: LogSettings,
+    log_file: str = '',
+) -> None:
     """Runs a process; returns when it has drained.
 
     Args:
         process: The process.
         log: What is logged.
+        log_file: File that log lines are appended to; empty for stderr.
 
     Raises:
         SystemExit: The process failed.
     """
-    _set_up_log(log)
+    _set_up_log(log, log_file)
     try:
         trio.run(_run_until_stopped, process)
     except Exception:
@@ -66,7 +71,11 @@
             stop.set()
 
 
-def _set_up_log(log: LogSettings) -> None:
-    logging.basicConfig(level=log.level.upper(), format=_LOG_FORMAT)
+def _set_up_log(log: LogSettings, log_file: str) -> None:
+    logging.basicConfig(
+        level=log.level.upper(),
+        format=_LOG_FORMAT,
+        filename=log_file or None,
+    )
     for library in _LIBRARY_LOGGERS:
         logging.getLogger(library).setLevel(logging.WARNING)
--- /dev/null
+++ b/scripts/cluster_layout.py
@@ -0,0 +1,165 @@
+"""Settings files and command lines of a small cluster on loopback."""
+
+import json
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+LOOPBACK = '127.0.0.1'
+CELL = 'cell-1'
+DATA_CENTRES = ('efri-skard', 'midhlid', 'nedri-dalur')
+PEERS_OFFSET = 100
+UPSTREAMS_OFFSET = 200
+SMALL_QUORUM = 3
+LARGE_QUORUM = 5
+CONNECTIONS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessPlan:
+    """A process of the cluster.
+
+    Attributes:
+        role: `entry`, `agent` or `upstream`.
+        name: Name of the process.
+        url: Where it serves HTTP; empty for an agent.
+        command: Arguments that start it, also again after its death.
+    """
+
+    role: str
+    name: str
+    url: str
+    command: tuple[str, ...]
+
+
+def count_voters(entries: int) -> int:
+    """Returns how many of the entries are voters.
+
+    Examples:
+        >>> [count_voters(entries) for entries in (1, 2, 3, 4, 5, 9)]
+        [1, 1, 3, 3, 5, 5]
+
+    Args:
+        entries: Number of entries.
+    """
+    if entries >= LARGE_QUORUM:
+        return LARGE_QUORUM
+    if entries >= SMALL_QUORUM:
+        return SMALL_QUORUM
+    return 1
+
+
+class ClusterLayout:
+    """Writes the settings of a cluster into a folder."""
+
+    def __init__(self, folder: Path, base_port: int, slots: int) -> None:
+        """Makes the folder.
+
+        Args:
+            folder: Folder for settings, logs, starts and data.
+            base_port: Callers' port of the first entry.
+            slots: Slots of each upstream.
+        """
+        self._folder = folder.resolve()
+        self._base_port = base_port
+        self._slots = slots
+        self._voters: list[dict[str, Any]] = []
+        for name in ('settings', 'logs', 'starts', 'data'):
+            (self._folder / name).mkdir(parents=True, exist_ok=True)
+
+    def plan(self, entries: int, agents: int) -> list[ProcessPlan]:
+        """Writes all settings and returns the processes.
+
+        Args:
+            entries: Number of entries.
+            agents: Number of agents, each with an upstream.
+
+        Returns:
+            Upstreams first, then entries, then agents.
+        """
+        self._voters = [
+            {
+                'name': _entry_name(number),
+                'host': LOOPBACK,
+                'port': self._base_port + PEERS_OFFSET + number,
+            }
+            for number in range(count_voters(entries))
+        ]
+        return [
+            *[self._plan_upstream(number) for number in range(agents)],
+            *[self._plan_entry(number) for number in range(entries)],
+            *[self._plan_agent(number) for number in range(agents)],
+        ]
+
+    def _plan_upstream(self, number: int) -> ProcessPlan:
+        name = _upstream_name(number)
+        port = self._base_port + UPSTREAMS_OFFSET + number
+        script = Path(__file__).resolve().parent / 'sample_upstream.py'
+        command = (
+            sys.executable,
+            str(script),
+            f'--port={port}',
+            f'--starts={self._folder}/starts/{name}.jsonl',
+        )
+        url = f'http://{LOOPBACK}:{port}'
+        return ProcessPlan('upstream', name, url, command)
+
+    def _plan_entry(self, number: int) -> ProcessPlan:
+        name = _entry_name(number)
+        port = self._base_port + number
+        settings = {
+            'name': name,
+            'cell': CELL,
+            'data_centre': _data_centre(number),
+            'callers': {'host': LOOPBACK, 'port': port},
+            'peers': {'host': LOOPBACK, 'port': port + PEERS_OFFSET},
+            'voters': self._voters,
+        }
+        if number < len(self._voters):
+            settings['data_dir'] = f'{self._folder}/data/{name}'
+        command = self._make_command('entry', name, settings)
+        return ProcessPlan('entry', name, f'http://{LOOPBACK}:{port}', command)
+
+    def _plan_agent(self, number: int) -> ProcessPlan:
+        name = _upstream_name(number)
+        settings = {
+            'name': name,
+            'cell': CELL,
+            'data_centre': _data_centre(number),
+            'rack': f'rack-{number // SMALL_QUORUM + 1}',
+            'upstream': {
+                'host': LOOPBACK,
+                'port': self._base_port + UPSTREAMS_OFFSET + number,
+                'slots': self._slots,
+                'connections': CONNECTIONS,
+            },
+            'voters': self._voters,
+        }
+        command = self._make_command('agent', name, settings)
+        return ProcessPlan('agent', name, '', command)
+
+    def _make_command(
+        self,
+        role: str,
+        name: str,
+        settings: dict[str, Any],
+    ) -> tuple[str, ...]:
+        path = self._folder / 'settings' / f'{role}-{name}.json'
+        path.write_text(json.dumps(settings, indent=2), encoding='utf-8')
+        program = Path(sys.executable).parent / 'cactusheadd'
+        log_file = self._folder / 'logs' / f'{role}-{name}.log'
+        options = ('--settings', str(path), '--log_file', str(log_file))
+        return (str(program), role, *options)
+
+
+def _entry_name(number: int) -> str:
+    return f'entry-{number + 1}'
+
+
+def _upstream_name(number: int) -> str:
+    return f'upstream-{number + 1}'
+
+
+def _data_centre(number: int) -> str:
+    return DATA_CENTRES[number % len(DATA_CENTRES)]
