--- a/packages/node/cactushead_node/composition/entry.py
+++ b/packages/node/cactushead_node/composition/entry.py
@@ -30,16 +30,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EntryAddresses:
+class EntryPorts:
     """Where a running entry listens.
 
     Attributes:
-        callers_url: URL for callers and operators.
-        peers_port: Port for the other processes; 0 when it is no voter.
+        callers: TCP port for callers and operators.
+        peers: TCP port for the other processes; 0 when it is no voter.
     """
 
-    callers_url: str
-    peers_port: int
+    callers: int
+    peers: int
 
 
 class EntryProcess:
@@ -101,7 +101,7 @@
         self,
         stop: trio.Event,
         *,
-        task_status: trio.TaskStatus[EntryAddresses] = (
+        task_status: trio.TaskStatus[EntryPorts] = (
             trio.TASK_STATUS_IGNORED
         ),
     ) -> None:
@@ -115,9 +115,13 @@
             nursery.start_soon(self._runtime.run)
             peers_port = await self._join(nursery)
             async with trio.open_nursery() as callers_nursery:
-                urls = await callers_nursery.start(self._serve_callers, stop)
-                _log.info('entry: %s serves %s', self._settings.name, urls[0])
-                task_status.started(EntryAddresses(urls[0], peers_port))
+                port = await callers_nursery.start(self._serve_callers, stop)
+                _log.info(
+                    'entry: %s serves callers on port %d',
+                    self._settings.name,
+                    port,
+                )
+                task_status.started(EntryPorts(port, peers_port))
             await self._runtime.drained.wait()
             await self._links.close(FLUSH_TIMEOUT_S)
             nursery.cancel_scope.cancel()
@@ -142,7 +146,7 @@
     async def _serve_callers(
         self,
         stop: trio.Event,
-        task_status: trio.TaskStatus[list[str]],
+        task_status: trio.TaskStatus[int],
     ) -> None:
         await serve_callers(
             make_app(self._runtime, self._status),
--- a/packages/node/cactushead_node/composition/local.py
+++ b/packages/node/cactushead_node/composition/local.py
@@ -29,7 +29,7 @@
 from ..upstreams.sample_document import SAMPLE_DOCUMENT, SAMPLE_SERVICE
 from ..upstreams.sample_server import serve_sample
 from .agent import AgentProcess
-from .entry import EntryAddresses, EntryProcess
+from .entry import EntryPorts, EntryProcess
 
 LOOPBACK = '127.0.0.1'
 ENTRY_NAME = 'local'
@@ -65,7 +65,7 @@
         self,
         stop: trio.Event,
         *,
-        task_status: trio.TaskStatus[EntryAddresses] = (
+        task_status: trio.TaskStatus[EntryPorts] = (
             trio.TASK_STATUS_IGNORED
         ),
     ) -> None:
@@ -85,7 +85,7 @@
                 0,
                 agent_ended.wait,
             )
-            addresses = await nursery.start(
+            ports = await nursery.start(
                 _run_then_set,
                 partial(self._entry.run, stop),
                 entry_ended,
@@ -93,7 +93,7 @@
             agent = AgentProcess(
                 _make_agent_settings(
                     self._settings,
-                    addresses.peers_port,
+                    ports.peers,
                     sample_port,
                 ),
             )
@@ -103,7 +103,7 @@
                 agent_ended,
             )
             nursery.start_soon(_prepare, self._entry)
-            task_status.started(addresses)
+            task_status.started(ports)
             await entry_ended.wait()
 
 
--- a/packages/node/cactushead_node/peers/link.py
+++ b/packages/node/cactushead_node/peers/link.py
@@ -19,7 +19,7 @@
 
 _log = logging.getLogger('cactushead.peers')
 
-Receive = Callable[[Peer, Message], None]
+Receive = Callable[[Message], None]
 
 
 class Link:
@@ -116,7 +116,7 @@
                 messages = decode_frame(frame)
                 self._counters.count_received(len(messages), len(frame))
                 for message in messages:
-                    receive(self.peer, message)
+                    receive(message)
         except ConnectionClosed as closed:
             _log.info('peers: link to %s ended: %s', self.peer.name, closed)
         except FrameError as error:
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -88,10 +88,10 @@
         self._wait_until_idle()
         statuses = []
         for role in ('entry', 'agent', 'upstream'):
-            stopping = [child for child in alive if child.plan.role == role]
+            stopping = [one for one in alive if one.plan.role == role]
             for child in stopping:
                 child.process.send_signal(signal.SIGTERM)
-            statuses += [_wait_for_exit(child) for child in stopping]
+            statuses += [_wait_for_exit(one) for one in stopping]
         return not any(statuses)
 
     def _wait_for(self, condition: Callable[[], bool]) -> None:
@@ -105,7 +105,7 @@
     def _check_children(self) -> None:
         ended = [child for child in self._children if not _lives(child)]
         if ended:
-            names = ', '.join(child.plan.name for child in ended)
+            names = ', '.join(gone.plan.name for gone in ended)
             raise ClusterError(f'ended too early: {names}')
 
     def _accept_sample(self) -> bool:
