Let local's entry stay until its agent has settled

The agent waited 30 s for the acknowledgement of its last outcomes, since the entry, which is the leader, had left. Ruled out: a shorter wait at the agent, which would lose outcomes when a leader changes. After: local leaves 0.2 s after SIGTERM with one request in flight (which was answered), exit 0.

--- a/packages/node/cactushead_node/composition/entry.py
+++ b/packages/node/cactushead_node/composition/entry.py
@@ -43,7 +43,11 @@
 
 
 class EntryProcess:
-    """An entry with its links, its disk and its callers."""
+    """An entry with its links, its disk and its callers.
+
+    Attributes:
+        drained: Set once all callers have their answers.
+    """
 
     def __init__(
         self,
@@ -61,6 +65,7 @@
             StorageError: The data folder can't be read.
         """
         now = time.monotonic
+        self.drained = trio.Event()
         self._settings = settings
         self._storage = _open_storage(settings)
         config = _make_config(settings, self._storage)
@@ -101,14 +106,14 @@
         self,
         stop: trio.Event,
         *,
-        task_status: trio.TaskStatus[EntryPorts] = (
-            trio.TASK_STATUS_IGNORED
-        ),
+        leave: trio.Event | None = None,
+        task_status: trio.TaskStatus[EntryPorts] = (trio.TASK_STATUS_IGNORED),
     ) -> None:
         """Runs until the entry is stopped and has drained.
 
         Args:
             stop: Is set when the entry shall drain.
+            leave: Until it is set, a drained entry goes on for its peers.
             task_status: Is told where the entry listens.
         """
         async with trio.open_nursery() as nursery:
@@ -123,6 +128,9 @@
                 )
                 task_status.started(EntryPorts(port, peers_port))
             await self._runtime.drained.wait()
+            self.drained.set()
+            if leave is not None:
+                await leave.wait()
             await self._links.close(FLUSH_TIMEOUT_S)
             nursery.cancel_scope.cancel()
         if self._storage is not None:
--- a/packages/node/cactushead_node/composition/local.py
+++ b/packages/node/cactushead_node/composition/local.py
@@ -7,9 +7,7 @@
 """
 
 import logging
-from collections.abc import Awaitable, Callable
 from functools import partial
-from typing import Any
 
 import trio
 from cactushead_core.documents.schema import parse_document
@@ -65,9 +63,7 @@
         self,
         stop: trio.Event,
         *,
-        task_status: trio.TaskStatus[EntryPorts] = (
-            trio.TASK_STATUS_IGNORED
-        ),
+        task_status: trio.TaskStatus[EntryPorts] = (trio.TASK_STATUS_IGNORED),
     ) -> None:
         """Runs until the system is stopped and has drained.
 
@@ -75,7 +71,6 @@
             stop: Is set when the system shall drain.
             task_status: Is told where callers are served.
         """
-        entry_ended = trio.Event()
         agent_ended = trio.Event()
         async with trio.open_nursery() as nursery:
             sample_port = await nursery.start(
@@ -86,34 +81,16 @@
                 agent_ended.wait,
             )
             ports = await nursery.start(
-                _run_then_set,
-                partial(self._entry.run, stop),
-                entry_ended,
+                partial(self._entry.run, stop, leave=agent_ended),
             )
             agent = AgentProcess(
-                _make_agent_settings(
-                    self._settings,
-                    ports.peers,
-                    sample_port,
-                ),
-            )
-            await nursery.start(
-                _run_then_set,
-                partial(agent.run, entry_ended),
-                agent_ended,
+                _make_agent_settings(self._settings, ports.peers, sample_port),
             )
             nursery.start_soon(_prepare, self._entry)
             task_status.started(ports)
-            await entry_ended.wait()
-
-
-async def _run_then_set(
-    run: Callable[..., Awaitable[None]],
-    ended: trio.Event,
-    task_status: trio.TaskStatus[Any],
-) -> None:
-    await run(task_status=task_status)
-    ended.set()
+            # The entry stays until the leader in it has the last outcomes.
+            await agent.run(self._entry.drained)
+            agent_ended.set()
 
 
 async def _prepare(entry: EntryProcess) -> None:
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -28,6 +28,7 @@
 IDLE_TIMEOUT_S = 10.0
 STOP_TIMEOUT_S = 60.0
 POLL_S = 0.05
+SETTLE_S = 0.3
 OK = 200
 
 
@@ -139,6 +140,7 @@
             if time.monotonic() > deadline_s:
                 return
             time.sleep(POLL_S)
+        time.sleep(SETTLE_S)
 
     def _children_of(self, role: str) -> list[Child]:
         return [child for child in self._children if child.plan.role == role]
