Test links, the upstream client and the runtime loop

What httpcore does with a connection that the upstream closed, by test: closed while idle, it is dropped before anything is written and the request goes out on a new connection; closed while the next request is written, the error comes from reading the response, after writing, so the outcome is unknown.

--- a/packages/node/cactushead_node/peers/counters.py
+++ b/packages/node/cactushead_node/peers/counters.py
@@ -16,7 +16,8 @@
         received_bytes: Their size.
         dropped_messages: Messages to a peer without a link, and messages
             that were queued on a link that was dropped.
-        dropped_links: Links dropped because their queue was full.
+        dropped_links: Links that this process ended, because the peer read
+            too slowly, sent a bad frame or was replaced.
         refused_links: Links closed because of a bad first frame.
     """
 
--- a/packages/node/cactushead_node/peers/link.py
+++ b/packages/node/cactushead_node/peers/link.py
@@ -69,7 +69,6 @@
             messages: Number of messages in it.
         """
         if self._queued_bytes + len(frame) > MAX_QUEUE_BYTES:
-            self._counters.dropped_links += 1
             self._counters.dropped_messages += messages
             self.drop(f'{self._queued_bytes} bytes are waiting')
             return
@@ -84,6 +83,7 @@
             cause: Why, for the log.
         """
         if self.open:
+            self._counters.dropped_links += 1
             _log.warning('peers: drop link to %s: %s', self.peer.name, cause)
         self.open = False
         self._scope.cancel()
--- a/packages/node/cactushead_node/peers/links.py
+++ b/packages/node/cactushead_node/peers/links.py
@@ -145,13 +145,14 @@
             timeout_s: Longest wait for the frames.
         """
         with trio.move_on_after(timeout_s):
-            while not all(link.idle for link in self._all_links()):
+            while not all(link.idle for link in self.open_links()):
                 await trio.sleep(FLUSH_POLL_S)
         async with trio.open_nursery() as nursery:
-            for link in self._all_links():
+            for link in self.open_links():
                 nursery.start_soon(link.close)
 
-    def _all_links(self) -> list[Link]:
+    def open_links(self) -> list[Link]:
+        """Returns all links that are up."""
         return [link for links in self._links.values() for link in links]
 
     async def _dial_once(self, address: PeerAddress) -> bool:
--- /dev/null
+++ b/packages/node/cactushead_node/peers/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the links; a package, so that messages are registered once."""
--- /dev/null
+++ b/packages/node/cactushead_node/peers/tests/test_links.py
@@ -0,0 +1,250 @@
+"""Tests of links between processes over loopback."""
+
+import logging
+from contextlib import asynccontextmanager
+from functools import partial
+
+import pytest
+import trio
+import trio.testing
+from cactushead_core.agents.messages import Acknowledge
+from cactushead_core.events import (
+    MessageReceived,
+    PeerConnected,
+    PeerLost,
+    PeerRole,
+)
+from cactushead_core.messages import encode_frame
+from websockets.exceptions import ConnectionClosed
+from websockets.trio.client import connect
+
+from cactushead_node.peers import Hello, LinkCounters, PeerAddress, PeerLinks
+from cactushead_node.peers import link as link_module
+from cactushead_node.peers.listener import listen
+
+HOST = '127.0.0.1'
+TIMEOUT_S = 10.0
+MESSAGES = [Acknowledge(1, ('a',)), Acknowledge(2, ('b', 'c'))]
+
+
+class Recorder:
+    """Collects the events of one process."""
+
+    def __init__(self):
+        self.events = []
+        self._changed = trio.Event()
+
+    def deliver(self, make_event):
+        self.events.append(make_event(0.0))
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def wait_for(self, *expected):
+        while self.events != list(expected):
+            await self._changed.wait()
+
+
+class Side:
+    """One process with its links."""
+
+    def __init__(self, name, incarnation='i1', cell='c1'):
+        self.hello = Hello(name, PeerRole.ENTRY, incarnation, cell)
+        self.recorder = Recorder()
+        self.links = PeerLinks(self.hello, self.recorder.deliver)
+
+    @property
+    def peer(self):
+        return self.hello.peer
+
+    @asynccontextmanager
+    async def dialling(self, port, name='voter'):
+        async with trio.open_nursery() as nursery:
+            address = PeerAddress(name, HOST, port)
+            nursery.start_soon(self.links.dial, address)
+            yield nursery
+            nursery.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def listening(side):
+    with trio.fail_after(TIMEOUT_S):
+        async with trio.open_nursery() as nursery:
+            yield await nursery.start(listen, side.links, HOST, 0)
+            nursery.cancel_scope.cancel()
+
+
+async def wait_until(condition):
+    while not condition():
+        await trio.sleep(0.01)
+
+
+def run(test):
+    trio.run(test)
+
+
+def test_messages_of_one_send_are_one_frame():
+    async def exchange():
+        voter, agent = Side('voter'), Side('agent')
+        async with listening(voter) as port, agent.dialling(port):
+            await agent.recorder.wait_for(PeerConnected(0.0, voter.peer))
+            agent.links.send('voter', MESSAGES)
+            await voter.recorder.wait_for(
+                PeerConnected(0.0, agent.peer),
+                MessageReceived(0.0, agent.peer, MESSAGES[0]),
+                MessageReceived(0.0, agent.peer, MESSAGES[1]),
+            )
+            counters = voter.links.counters
+            assert counters.received_frames == 1
+            assert counters.received_messages == 2
+            assert counters.received_bytes == len(encode_frame(MESSAGES))
+
+    run(exchange)
+
+
+def test_both_ends_notice_the_end_of_a_link():
+    async def cut():
+        voter, agent = Side('voter'), Side('agent')
+        async with listening(voter) as port:
+            async with agent.dialling(port):
+                await agent.recorder.wait_for(PeerConnected(0.0, voter.peer))
+            await voter.recorder.wait_for(
+                PeerConnected(0.0, agent.peer),
+                PeerLost(0.0, agent.peer),
+            )
+        assert agent.recorder.events[-1] == PeerLost(0.0, voter.peer)
+
+    run(cut)
+
+
+def test_new_incarnation_replaces_the_old_one():
+    async def restart():
+        voter, old = Side('voter'), Side('agent', 'old')
+        new = Side('agent', 'new')
+        async with listening(voter) as port, old.dialling(port) as nursery:
+            await old.recorder.wait_for(PeerConnected(0.0, voter.peer))
+            nursery.start_soon(new.links.dial, PeerAddress('voter', HOST, port))
+            await wait_until(lambda: len(voter.recorder.events) >= 3)
+            assert voter.recorder.events[:3] == [
+                PeerConnected(0.0, old.peer),
+                PeerLost(0.0, old.peer),
+                PeerConnected(0.0, new.peer),
+            ]
+
+    run(restart)
+
+
+def test_second_link_of_a_peer_is_no_event():
+    async def dial_twice():
+        voter, agent = Side('voter'), Side('agent')
+        async with listening(voter) as port, agent.dialling(port):
+            async with agent.dialling(port):
+                await wait_until(lambda: len(voter.links.open_links()) == 2)
+            await wait_until(lambda: len(voter.links.open_links()) == 1)
+            assert voter.recorder.events == [PeerConnected(0.0, agent.peer)]
+
+    run(dial_twice)
+
+
+@pytest.mark.parametrize(
+    'frame',
+    [
+        b'',
+        b'\xff\xff',
+        encode_frame([]),
+        encode_frame(MESSAGES[:1]),
+        encode_frame([Hello('a', PeerRole.AGENT, 'i', 'other cell')]),
+        encode_frame([Hello('voter', PeerRole.ENTRY, 'i', 'c1')]),
+    ],
+)
+def test_bad_first_frame_is_refused(frame, caplog):
+    async def greet():
+        voter = Side('voter')
+        async with listening(voter) as port:
+            url = f'ws://{HOST}:{port}'
+            async with connect(url, compression=None) as socket:
+                await socket.send(frame)
+                await socket.recv()
+                with pytest.raises(ConnectionClosed):
+                    await socket.recv()
+        assert voter.recorder.events == []
+        assert voter.links.counters.refused_links == 1
+
+    with caplog.at_level(logging.WARNING, 'cactushead.peers'):
+        run(greet)
+    assert 'peers: refused a link' in caplog.text
+
+
+def test_garbage_after_the_hello_drops_the_link():
+    async def send_garbage():
+        voter, agent = Side('voter'), Side('agent')
+        async with listening(voter) as port:
+            async with connect(f'ws://{HOST}:{port}') as socket:
+                await socket.send(encode_frame([agent.hello]))
+                await socket.recv()
+                await socket.send(b'\x00')
+                with pytest.raises(ConnectionClosed):
+                    await socket.recv()
+            await voter.recorder.wait_for(
+                PeerConnected(0.0, agent.peer),
+                PeerLost(0.0, agent.peer),
+            )
+
+    run(send_garbage)
+
+
+def test_send_without_link_is_counted():
+    side = Side('agent')
+    side.links.send('voter', MESSAGES)
+    assert side.links.counters.dropped_messages == 2
+
+
+def test_redial_reaches_a_voter_that_starts_later():
+    async def start_late():
+        voter, agent = Side('voter'), Side('agent')
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        port = listeners[0].socket.getsockname()[1]
+        await listeners[0].aclose()
+        with trio.fail_after(TIMEOUT_S):
+            async with agent.dialling(port) as nursery:
+                await trio.sleep(0.2)
+                nursery.start_soon(listen, voter.links, HOST, port)
+                await agent.recorder.wait_for(PeerConnected(0.0, voter.peer))
+
+    run(start_late)
+
+
+class StuckSocket:
+    """A web socket whose other end reads nothing."""
+
+    def __init__(self):
+        self.stream = trio.testing.memory_stream_pair()[0]
+
+    async def send(self, frame):
+        await trio.sleep_forever()
+
+    async def recv(self, decode):
+        await trio.sleep_forever()
+
+    async def aclose(self):
+        await trio.lowlevel.checkpoint()
+
+
+@pytest.mark.parametrize('frames', [1, 2])
+def test_peer_that_does_not_read_loses_its_link(frames, monkeypatch):
+    monkeypatch.setattr(link_module, 'MAX_QUEUE_BYTES', 100)
+    monkeypatch.setattr(link_module, 'SEND_TIMEOUT_S', 0.1)
+    counters = LinkCounters()
+
+    async def stall():
+        peer = Side('agent').peer
+        link = link_module.Link(StuckSocket(), peer, counters)
+        with trio.fail_after(TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(partial(link.run, lambda message: None))
+                for _ in range(frames):
+                    link.send(bytes(60), 1)
+        assert not link.open
+
+    run(stall)
+    assert counters.dropped_messages == frames
+    assert counters.dropped_links == 1
--- /dev/null
+++ b/packages/node/cactushead_node/tests/test_runtime.py
@@ -0,0 +1,160 @@
+"""Tests of the runtime loop with a scripted reducer."""
+
+import pytest
+import trio
+from cactushead_core import effects as fx
+from cactushead_core.agents.messages import Acknowledge
+from cactushead_core.events import (
+    CallerGone,
+    DrainRequested,
+    JobQueried,
+    LogSynced,
+    Tick,
+    TurnEnded,
+)
+from cactushead_core.jobs import JobId, JobState, JobStatus
+from cactushead_core.reducer import Node
+from cactushead_node.ports import MessageTransport
+from cactushead_node.runtime import Runtime
+from cactushead_node.storage import MemoryStorage
+
+JOB = JobId('s', 'k')
+RESPONSE = fx.StatusResponse(JobStatus(JOB, JobState.QUEUED, 1, 0))
+NEVER_S = 1e9
+
+
+class ScriptedNode(Node):
+    """Answers each event type with given effects and keeps the events."""
+
+    def __init__(self, script):
+        self.script = script
+        self.events = []
+
+    def _reduce(self, event, effects):
+        self.events.append(event)
+        effects.extend(self.script.get(type(event), ()))
+
+    def seen(self, event_type):
+        return [one for one in self.events if isinstance(one, event_type)]
+
+
+class ListTransport(MessageTransport):
+    """Keeps what was sent."""
+
+    def __init__(self):
+        self.frames = []
+
+    def send(self, peer, messages):
+        self.frames.append((peer, list(messages)))
+
+
+def make_query(now_s, request_id):
+    return JobQueried(now_s, request_id, JOB)
+
+
+def run(test, script, tick_s=NEVER_S, storage=None):
+    async def main():
+        node = ScriptedNode(script)
+        transport = ListTransport()
+        runtime = Runtime(node, transport, tick_s=tick_s, storage=storage)
+        with trio.fail_after(10):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(runtime.run)
+                await test(runtime, node, transport)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_request_gets_its_response():
+    async def test(runtime, node, transport):
+        assert await runtime.request(make_query) == RESPONSE
+        await trio.sleep(0.01)
+        assert not node.seen(CallerGone)
+
+    run(test, {JobQueried: [fx.Respond(1, RESPONSE)]})
+
+
+def test_cancelled_request_is_told_to_the_reducer():
+    async def test(runtime, node, transport):
+        with trio.move_on_after(0.01):
+            await runtime.request(make_query)
+        await trio.sleep(0.01)
+        assert [event.request_id for event in node.seen(CallerGone)] == [1]
+
+    run(test, {})
+
+
+def test_messages_of_one_turn_to_one_peer_leave_as_one_frame():
+    first, second = Acknowledge(1, ('a',)), Acknowledge(1, ('b',))
+    script = {
+        DrainRequested: [fx.Send('a', first), fx.Send('b', first)],
+        TurnEnded: [fx.Send('a', second)],
+    }
+
+    async def test(runtime, node, transport):
+        await trio.sleep(0.01)
+        transport.frames.clear()
+        runtime.deliver(DrainRequested)
+        await trio.sleep(0.01)
+        assert transport.frames == [('a', [first, second]), ('b', [first])]
+
+    run(test, script)
+
+
+def test_waiting_events_share_a_turn_and_get_their_time_when_taken():
+    async def test(runtime, node, transport):
+        await trio.sleep(0.01)
+        node.events.clear()
+        for _ in range(3):
+            runtime.deliver(DrainRequested)
+        await trio.sleep(0.01)
+        kinds = [type(event) for event in node.events]
+        assert kinds == [DrainRequested] * 3 + [TurnEnded]
+        times_s = [event.now_s for event in node.events]
+        assert times_s == sorted(times_s)
+
+    run(test, {})
+
+
+def test_ticks_go_on_without_events():
+    async def test(runtime, node, transport):
+        while len(node.seen(Tick)) < 3:
+            await trio.sleep(0.01)
+
+    run(test, {}, tick_s=0.01)
+
+
+def test_writes_come_back_as_events():
+    entry = fx.LogEntry(1, 1, b'x')
+    storage = MemoryStorage()
+
+    async def test(runtime, node, transport):
+        runtime.deliver(DrainRequested)
+        while not node.seen(LogSynced):
+            await trio.sleep(0.01)
+        assert node.seen(LogSynced)[0].index == 1
+
+    run(
+        test,
+        {DrainRequested: [fx.AppendLog((entry,))]},
+        storage=storage,
+    )
+    assert storage.load().entries == (entry,)
+
+
+def test_drained_is_set_by_the_effect():
+    async def test(runtime, node, transport):
+        runtime.deliver(DrainRequested)
+        await runtime.drained.wait()
+
+    run(test, {DrainRequested: [fx.Drained()]})
+
+
+def test_effect_that_the_process_cannot_perform_is_an_error():
+    async def test(runtime, node, transport):
+        runtime.deliver(DrainRequested)
+        await trio.sleep_forever()
+
+    with pytest.raises(ExceptionGroup):
+        run(test, {DrainRequested: [fx.StopRun('a')]})
--- /dev/null
+++ b/packages/node/cactushead_node/upstreams/tests/test_client.py
@@ -0,0 +1,290 @@
+"""Tests of the upstream client against real sockets."""
+
+import json
+from contextlib import asynccontextmanager
+from functools import partial
+
+import httpcore
+import pytest
+import trio
+from cactushead_core.agents.model import (
+    Assignment,
+    OutcomeStatus,
+    UpstreamSpec,
+)
+from cactushead_core.effects import StartRun, StopRun
+from cactushead_core.events import RunEnded, StopEnded, UpstreamChecked
+from cactushead_core.jobs import JobId
+from cactushead_node.upstreams import UpstreamClient, UpstreamTarget
+from cactushead_node.upstreams import client as client_module
+from cactushead_node.upstreams.exchange import Exchange, make_pool
+from cactushead_node.upstreams.sample import SampleUpstream
+from cactushead_node.upstreams.sample_server import serve_sample
+
+HOST = '127.0.0.1'
+TIMEOUT_S = 10.0
+JOB = JobId('sample', 'k 1/ä')
+SPEC = UpstreamSpec('u1')
+RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b'
+
+
+def make_start(index=0, timeout_s=5.0, start_by_s=float('inf'), **task):
+    body = json.dumps({'value': index, **task}).encode()
+    assignment = Assignment(JOB, index, 1, 'echo', 1, timeout_s, body)
+    return StartRun(assignment, start_by_s)
+
+
+class Agent:
+    """A client with what it delivered."""
+
+    def __init__(self, port):
+        target = UpstreamTarget(HOST, port, '/run', '/health', SPEC)
+        self.client = UpstreamClient(target, self._deliver, lambda: 0.0)
+        self.events = []
+
+    def _deliver(self, make_event):
+        self.events.append(make_event(0.0))
+
+    async def wait_for(self, event_type):
+        while True:
+            for event in self.events:
+                if isinstance(event, event_type):
+                    self.events.remove(event)
+                    return event
+            await trio.sleep(0.01)
+
+    async def run(self, start):
+        self.client.start(start)
+        return (await self.wait_for(RunEnded)).outcome
+
+
+@asynccontextmanager
+async def agent_beside(serve):
+    with trio.fail_after(TIMEOUT_S):
+        async with trio.open_nursery() as nursery:
+            agent = Agent(await nursery.start(serve))
+            await nursery.start(agent.client.run)
+            yield agent
+            nursery.cancel_scope.cancel()
+
+
+def sample(starts_file=None):
+    upstream = SampleUpstream(starts_file)
+    return partial(serve_sample, upstream, HOST, 0, trio.sleep_forever)
+
+
+def scripted(handle):
+    """Serves a TCP port with one handler per connection."""
+
+    async def serve(task_status):
+        await trio.serve_tcp(handle, 0, host=HOST, task_status=task_status)
+
+    async def start(task_status):
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(serve)
+            task_status.started(listeners[0].socket.getsockname()[1])
+
+    return start
+
+
+def check(serve, test):
+    async def run():
+        async with agent_beside(serve) as agent:
+            await test(agent)
+
+    trio.run(run)
+
+
+@pytest.mark.parametrize(
+    ('task', 'status', 'result'),
+    [
+        ({}, OutcomeStatus.SUCCEEDED, b'0'),
+        ({'value': [1, None]}, OutcomeStatus.SUCCEEDED, b'[1, null]'),
+        ({'fail': True}, OutcomeStatus.FAILED, b''),
+        ({'sleep_ms': -1}, OutcomeStatus.FAILED, b''),
+        ({'start_by_s': -1.0}, OutcomeStatus.REFUSED, b''),
+        ({'sleep_ms': 5000, 'timeout_s': 0.1}, OutcomeStatus.FAILED, b''),
+    ],
+)
+def test_outcome_of_sample(task, status, result):
+    async def test(agent):
+        outcome = await agent.run(make_start(**task))
+        assert (outcome.status, outcome.result_json) == (status, result)
+
+    check(sample(), test)
+
+
+def test_start_is_noted_once_with_its_identity(tmp_path):
+    async def test(agent):
+        await agent.run(make_start(3))
+
+    starts = tmp_path / 'starts.jsonl'
+    check(sample(starts), test)
+    line = json.loads(starts.read_text())
+    line.pop('time_s')
+    assert line == {
+        'task_id': JOB.task_id(3),
+        'service': JOB.service,
+        'job_key': JOB.key,
+        'task_index': 3,
+    }
+
+
+def test_stopped_task_is_cancelled():
+    async def test(agent):
+        start = make_start(sleep_ms=5000)
+        agent.client.start(start)
+        await trio.sleep(0.1)
+        agent.client.stop(StopRun(start.assignment.task_id))
+        assert (await agent.wait_for(StopEnded)).stopped
+        ended = await agent.wait_for(RunEnded)
+        assert ended.outcome.status is OutcomeStatus.CANCELLED
+
+    check(sample(), test)
+
+
+def test_stop_that_overtakes_its_start_is_not_confirmed_by_404():
+    async def test(agent):
+        start = make_start(sleep_ms=300)
+        agent.client.stop(StopRun(start.assignment.task_id))
+        agent.client.start(start)
+        assert (await agent.wait_for(StopEnded)).stopped
+        ended = await agent.wait_for(RunEnded)
+        assert ended.outcome.status is OutcomeStatus.CANCELLED
+
+    check(sample(), test)
+
+
+def test_stop_of_unknown_task_is_confirmed():
+    async def test(agent):
+        agent.client.stop(StopRun('sample/old/0'))
+        assert (await agent.wait_for(StopEnded)).stopped
+
+    check(sample(), test)
+
+
+def test_refused_connection_proves_that_nothing_started():
+    async def test():
+        agent = Agent(1)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(agent.client.run)
+            outcome = await agent.run(make_start())
+            assert outcome.status is OutcomeStatus.REFUSED
+            nursery.cancel_scope.cancel()
+
+    trio.run(test)
+
+
+async def close_after_request(stream):
+    await stream.receive_some()
+    await stream.aclose()
+
+
+async def answer_half(stream):
+    await stream.receive_some()
+    await stream.send_all(RESPONSE[:-2] % 100)
+    await stream.aclose()
+
+
+async def answer_garbage(stream):
+    await stream.receive_some()
+    await stream.send_all(b'garbage\r\n\r\n')
+    await stream.aclose()
+
+
+async def answer_nothing(stream):
+    async for _ in stream:
+        continue
+
+
+@pytest.mark.parametrize(
+    'handle',
+    [close_after_request, answer_half, answer_garbage, answer_nothing],
+)
+def test_error_after_writing_is_unknown(handle, monkeypatch):
+    monkeypatch.setattr(client_module, 'STOP_TIMEOUT_S', 0.2)
+
+    async def test(agent):
+        outcome = await agent.run(make_start(timeout_s=0.3))
+        assert outcome.status is OutcomeStatus.UNKNOWN
+
+    check(scripted(handle), test)
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'', b'{', b'NaN', b'x' * 100],
+)
+def test_answer_without_json_is_a_failure(body):
+    async def answer(stream):
+        await stream.receive_some()
+        await stream.send_all(RESPONSE % (len(body), body))
+        await stream.aclose()
+
+    async def test(agent):
+        outcome = await agent.run(make_start())
+        assert outcome.status is OutcomeStatus.FAILED
+
+    check(scripted(answer), test)
+
+
+def test_health_is_lost_after_two_failed_checks(monkeypatch):
+    monkeypatch.setattr(client_module, 'CHECK_INTERVAL_S', 0.01)
+    answers = [b'200 OK', b'500 no', b'200 OK', b'500 no', b'500 no']
+
+    async def answer(stream):
+        await stream.receive_some()
+        status = answers.pop(0) if answers else b'200 OK'
+        await stream.send_all(b'HTTP/1.1 %b\r\nContent-Length: 0\r\n' % status)
+        await stream.send_all(b'Connection: close\r\n\r\n')
+        await stream.aclose()
+
+    async def test(agent):
+        checks = [(await agent.wait_for(UpstreamChecked)) for _ in range(4)]
+        assert [check.upstream for check in checks] == [SPEC, SPEC, None, SPEC]
+
+    check(scripted(answer), test)
+
+
+async def close_when_idle(stream):
+    """Answers one request and closes before the next."""
+    await stream.receive_some()
+    await stream.send_all(RESPONSE % (1, b'1'))
+    await stream.aclose()
+
+
+def test_idle_connection_that_was_closed_is_not_used_again():
+    async def test(agent):
+        for index in range(3):
+            outcome = await agent.run(make_start(index))
+            assert outcome.status is OutcomeStatus.SUCCEEDED
+            await trio.sleep(0.05)
+
+    check(scripted(close_when_idle), test)
+
+
+async def close_in_next_request(stream):
+    """Answers one request and closes when the next one is written."""
+    await stream.receive_some()
+    await stream.send_all(RESPONSE % (1, b'1'))
+    await stream.receive_some()
+    await stream.aclose()
+
+
+def test_close_that_crosses_a_request_is_raised_after_writing():
+    async def test():
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(scripted(close_in_next_request))
+            url = f'http://{HOST}:{port}/run'
+            async with make_pool(1) as pool:
+                first = Exchange('POST', url, body=b'{}')
+                await first.perform(pool, lambda: 0.0)
+                second = Exchange('POST', url, body=b'{}')
+                with pytest.raises(
+                    (httpcore.RemoteProtocolError, httpcore.ReadError),
+                ):
+                    await second.perform(pool, lambda: 0.0)
+                assert second.written
+            nursery.cancel_scope.cancel()
+
+    trio.run(test)
