Test whole processes under kills, freezes and graceful stops

Each test counts the lines of the stand-ins' starts files; the fixture checks at its end that no task of any test started twice, and that every process that wasn't killed exited with 0.

--- a/packages/node/cactushead_node/status.py
+++ b/packages/node/cactushead_node/status.py
@@ -53,7 +53,11 @@
 
     def metrics_json(self) -> bytes:
         """Returns percentiles and counters as JSON."""
-        return json.dumps({'links': asdict(self._counters)}).encode()
+        shown = {
+            'leader': self._node.gateway.leader,
+            'links': asdict(self._counters),
+        }
+        return json.dumps(shown).encode()
 
     def metrics_text(self) -> bytes:
         """Returns the metrics in the text form that scrapers read."""
--- /dev/null
+++ b/packages/node/cactushead_node/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the runtime and of whole processes."""
--- /dev/null
+++ b/packages/node/cactushead_node/tests/test_processes.py
@@ -0,0 +1,264 @@
+"""Tests with real processes: kills, freezes and graceful stops."""
+
+import signal
+import subprocess
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import httpcore
+import pytest
+
+from .cluster_client import (
+    ClusterClient,
+    ProcessHandle,
+    find_base_port,
+    is_ready,
+    submit,
+    wait_until,
+)
+
+# Longer than a lease and the time until a silent agent is given up.
+FREEZE_S = 7.0
+
+
+@pytest.fixture(scope='module')
+def cluster(tmp_path_factory):
+    client = ClusterClient(tmp_path_factory.mktemp('cluster'))
+    yield client
+    statuses = client.close()
+    assert not any(statuses), statuses
+    starts = client.starts()
+    assert starts
+    assert not [task for task, count in starts.items() if count > 1]
+
+
+@pytest.fixture(scope='module')
+def pool():
+    with ThreadPoolExecutor(8) as executor:
+        yield executor
+
+
+def make_tasks(count, sleep_ms):
+    return [{'value': index, 'sleep_ms': sleep_ms} for index in range(count)]
+
+
+def wait_for_starts(cluster, key, count=1):
+    wait_until(lambda: len(cluster.starts(key)) >= count)
+
+
+@pytest.mark.parametrize('kind', ['echo', 'book'])
+def test_job_through_any_entry_and_resubmission(cluster, kind):
+    tasks = [{'value': index, 'sleep_ms': 60 - index} for index in range(30)]
+    for entry in cluster.entries():
+        key = f'{kind}-{entry.name}'
+        answer = submit(entry, key, tasks, kind)
+        assert answer.status == 200
+        assert answer.results == list(range(30))
+        for other in cluster.entries():
+            assert submit(other, key, tasks, kind) == answer
+        assert sorted(cluster.starts(key).values()) == [1] * 30
+
+
+def test_same_key_with_other_content_is_refused(cluster):
+    first, second, _ = cluster.entries()
+    submit(first, 'conflict', make_tasks(1, 0))
+    answer = submit(second, 'conflict', make_tasks(2, 0))
+    assert answer.status == 409
+    assert answer.content['not_run'] is True
+    assert sum(cluster.starts('conflict').values()) == 1
+
+
+def test_one_key_in_two_entries_at_once_starts_once(cluster, pool):
+    tasks = make_tasks(10, 100)
+    pending = [
+        pool.submit(submit, entry, 'race', tasks, 'book')
+        for entry in cluster.entries() * 2
+    ]
+    answers = [one.result() for one in pending]
+    assert [answer.results for answer in answers] == [list(range(10))] * 6
+    assert sorted(cluster.starts('race').values()) == [1] * 10
+
+
+def test_leader_killed_with_a_job_running(cluster, pool):
+    leader = cluster.leader()
+    others = [one for one in cluster.entries() if one is not leader]
+    tasks = make_tasks(60, 400)
+    pending = [
+        pool.submit(cluster.submit_until_answered, [entry], key, tasks)
+        for entry, key in zip(others, ('kill-a', 'kill-b'), strict=True)
+    ]
+    wait_for_starts(cluster, 'kill-a', 5)
+    leader.signal(signal.SIGKILL)
+    for one in pending:
+        assert one.result().results == list(range(60))
+    cluster.restart(leader)
+    answer = cluster.submit_until_answered([leader], 'kill-a', tasks)
+    assert answer.results == list(range(60))
+    assert sorted(cluster.starts('kill-a').values()) == [1] * 60
+
+
+def test_caller_of_a_killed_leader_resubmits(cluster, pool):
+    leader = cluster.leader()
+    others = [one for one in cluster.entries() if one is not leader]
+    tasks = make_tasks(10, 500)
+    lost = pool.submit(submit, leader, 'lost', tasks, 'book')
+    wait_for_starts(cluster, 'lost')
+    leader.signal(signal.SIGKILL)
+    with pytest.raises((httpcore.NetworkError, httpcore.ProtocolError)):
+        lost.result()
+    answer = cluster.submit_until_answered(others, 'lost', tasks, kind='book')
+    assert answer.results == list(range(10))
+    assert sorted(cluster.starts('lost').values()) == [1] * 10
+    cluster.restart(leader)
+
+
+def test_frozen_leader(cluster, pool):
+    leader = cluster.leader()
+    others = [one for one in cluster.entries() if one is not leader]
+    tasks = make_tasks(40, 500)
+    pending = pool.submit(
+        cluster.submit_until_answered,
+        others,
+        'freeze',
+        tasks,
+    )
+    wait_for_starts(cluster, 'freeze', 5)
+    leader.signal(signal.SIGSTOP)
+    try:
+        # The others elect a leader, which ends the job.
+        assert pending.result().results == list(range(40))
+        assert cluster.leader_known_to(others[0]) != leader.name
+    finally:
+        leader.signal(signal.SIGCONT)
+    answer = cluster.submit_until_answered([leader], 'freeze', tasks)
+    assert answer.results == list(range(40))
+    assert sorted(cluster.starts('freeze').values()) == [1] * 40
+
+
+def test_frozen_agent(cluster, pool):
+    agent = cluster.agents()[0]
+    entry = cluster.entries()[0]
+    tasks = make_tasks(48, 200)
+    pending = pool.submit(submit, entry, 'cold', tasks, 'book')
+    wait_for_starts(cluster, 'cold', 5)
+    agent.signal(signal.SIGSTOP)
+    try:
+        time.sleep(FREEZE_S)
+    finally:
+        agent.signal(signal.SIGCONT)
+    answer = pending.result()
+    assert answer.content['state'] in {'complete', 'failed'}
+    assert answer.content.get('not_run', False) is False
+    assert max(cluster.starts('cold').values()) == 1
+
+
+def test_killed_agent_fails_what_may_have_run(cluster, pool):
+    agent = cluster.agents()[1]
+    entry = cluster.entries()[0]
+    tasks = make_tasks(24, 1500)
+    pending = pool.submit(submit, entry, 'killed', tasks, 'book')
+    wait_for_starts(cluster, 'killed', 24)
+    agent.signal(signal.SIGKILL)
+    answer = pending.result()
+    assert answer.content['state'] == 'failed'
+    assert answer.content['not_run'] is False
+    cluster.restart(agent)
+    before = len(cluster.starts(upstream=agent.name))
+    again = submit(entry, 'after', make_tasks(48, 50), 'book')
+    assert again.results == list(range(48))
+    wait_until(lambda: _runs_again(cluster, entry, agent, before))
+
+
+def _runs_again(cluster, entry, agent, before):
+    key = f'again-{time.monotonic()}'
+    assert submit(entry, key, make_tasks(24, 100)).status == 200
+    return len(cluster.starts(upstream=agent.name)) > before
+
+
+def test_stopped_agent_finishes_its_tasks(cluster, pool):
+    agent = cluster.agents()[2]
+    entry = cluster.entries()[0]
+    tasks = make_tasks(24, 700)
+    pending = pool.submit(submit, entry, 'leave', tasks, 'book')
+    wait_for_starts(cluster, 'leave', 24)
+    agent.signal(signal.SIGTERM)
+    assert pending.result().results == list(range(24))
+    cluster.wait_for_exit(agent)
+    cluster.restart(agent)
+
+
+@pytest.mark.parametrize('leads', [False, True])
+def test_stopped_entry_answers_what_is_in_flight(cluster, pool, leads):
+    leader = cluster.leader()
+    entry = next(one for one in cluster.entries() if (one is leader) == leads)
+    key = f'drain-{leads}'
+    tasks = make_tasks(10, 700)
+    pending = pool.submit(submit, entry, key, tasks, 'book')
+    wait_for_starts(cluster, key, 10)
+    entry.signal(signal.SIGTERM)
+    answer = pending.result()
+    assert answer.status == 200
+    assert answer.results == list(range(10))
+    cluster.wait_for_exit(entry)
+    cluster.restart(entry)
+
+
+def test_stopped_local_answers_what_is_in_flight(tmp_path, pool):
+    port = find_base_port()
+    handle = ProcessHandle('entry', 'local', f'http://127.0.0.1:{port}', 0, [])
+    with subprocess.Popen(
+        [
+            Path(sys.executable).parent / 'cactusheadd',
+            'local',
+            f'--data_dir={tmp_path}',
+            f'--port={port}',
+        ],
+    ) as process:
+        wait_until(lambda: is_ready(handle))
+        pending = pool.submit(submit, handle, 'k', make_tasks(12, 500), 'book')
+        time.sleep(0.5)
+        process.send_signal(signal.SIGTERM)
+        assert pending.result().results == list(range(12))
+        assert process.wait(20) == 0
+
+
+@pytest.mark.parametrize(
+    ('arguments', 'complaint'),
+    [
+        ([], 'name a role'),
+        (['entry'], 'settings'),
+        (['agent', '--settings'], ''),
+        (['agent', '--settings', '/nowhere.json'], '/nowhere.json'),
+        (['entry', '--settings=/dev/null'], 'settings: '),
+        (['boss', '--settings=x'], 'boss'),
+    ],
+)
+def test_bad_use_exits_with_2(arguments, complaint):
+    program = Path(sys.executable).parent / 'cactusheadd'
+    ended = subprocess.run(
+        [program, *arguments],
+        capture_output=True,
+        text=True,
+        timeout=20,
+        check=False,
+    )
+    assert ended.returncode == 2
+    assert complaint in ended.stderr
+
+
+def test_all_findings_of_settings_are_printed(tmp_path):
+    settings = tmp_path / 'agent.json'
+    settings.write_text('{"name": 5, "colour": 1}')
+    program = Path(sys.executable).parent / 'cactusheadd'
+    ended = subprocess.run(
+        [program, 'agent', '--settings', settings],
+        capture_output=True,
+        text=True,
+        timeout=20,
+        check=False,
+    )
+    assert ended.returncode == 2
+    for place in ('name', 'colour', 'cell', 'voters', 'upstream'):
+        assert f'cactusheadd: settings: {place}' in ended.stderr
--- a/packages/node/cactushead_node/tests/test_runtime.py
+++ b/packages/node/cactushead_node/tests/test_runtime.py
@@ -14,6 +14,7 @@
 )
 from cactushead_core.jobs import JobId, JobState, JobStatus
 from cactushead_core.reducer import Node
+
 from cactushead_node.ports import MessageTransport
 from cactushead_node.runtime import Runtime
 from cactushead_node.storage import MemoryStorage
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -83,11 +83,16 @@
         """Stops entries, then agents, then upstreams.
 
         Returns:
-            Whether all processes that were still alive ended with 0.
+            Whether all processes ended with 0, but for those that were
+            killed before.
         """
         alive = [child for child in self._children if _lives(child)]
+        statuses = [
+            max(child.process.returncode, 0)
+            for child in self._children
+            if child not in alive
+        ]
         self._wait_until_idle()
-        statuses = []
         for role in ('entry', 'agent', 'upstream'):
             stopping = [one for one in alive if one.plan.role == role]
             for child in stopping:
