--- a/packages/node/cactushead_node/composition/entry.py
+++ b/packages/node/cactushead_node/composition/entry.py
@@ -30,20 +30,24 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EntryAddresses:
+class EntryPorts:
     """Where a running entry listens.
 
     Attributes:
-        callers_url: URL for callers and operators.
-        peers_port: Port for the other processes; 0 when it is no voter.
+        callers: TCP port for callers and operators.
+        peers: TCP port for the other processes; 0 when it is no voter.
     """
 
-    callers_url: str
-    peers_port: int
+    callers: int
+    peers: int
 
 
 class EntryProcess:
-    """An entry with its links, its disk and its callers."""
+    """An entry with its links, its disk and its callers.
+
+    Attributes:
+        drained: Set once all callers have their answers.
+    """
 
     def __init__(
         self,
@@ -61,6 +65,7 @@
             StorageError: The data folder can't be read.
         """
         now = time.monotonic
+        self.drained = trio.Event()
         self._settings = settings
         self._storage = _open_storage(settings)
         config = _make_config(settings, self._storage)
@@ -101,24 +106,31 @@
         self,
         stop: trio.Event,
         *,
-        task_status: trio.TaskStatus[EntryAddresses] = (
-            trio.TASK_STATUS_IGNORED
-        ),
+        leave: trio.Event | None = None,
+        task_status: trio.TaskStatus[EntryPorts] = (trio.TASK_STATUS_IGNORED),
     ) -> None:
         """Runs until the entry is stopped and has drained.
 
         Args:
             stop: Is set when the entry shall drain.
+            leave: Until it is set, a drained entry goes on for its peers.
             task_status: Is told where the entry listens.
         """
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._runtime.run)
             peers_port = await self._join(nursery)
             async with trio.open_nursery() as callers_nursery:
-                urls = await callers_nursery.start(self._serve_callers, stop)
-                _log.info('entry: %s serves %s', self._settings.name, urls[0])
-                task_status.started(EntryAddresses(urls[0], peers_port))
+                port = await callers_nursery.start(self._serve_callers, stop)
+                _log.info(
+                    'entry: %s serves callers on port %d',
+                    self._settings.name,
+                    port,
+                )
+                task_status.started(EntryPorts(port, peers_port))
             await self._runtime.drained.wait()
+            self.drained.set()
+            if leave is not None:
+                await leave.wait()
             await self._links.close(FLUSH_TIMEOUT_S)
             nursery.cancel_scope.cancel()
         if self._storage is not None:
@@ -142,7 +154,7 @@
     async def _serve_callers(
         self,
         stop: trio.Event,
-        task_status: trio.TaskStatus[list[str]],
+        task_status: trio.TaskStatus[int],
     ) -> None:
         await serve_callers(
             make_app(self._runtime, self._status),
--- a/packages/node/cactushead_node/peers/link.py
+++ b/packages/node/cactushead_node/peers/link.py
@@ -19,7 +19,7 @@
 
 _log = logging.getLogger('cactushead.peers')
 
-Receive = Callable[[Peer, Message], None]
+Receive = Callable[[Message], None]
 
 
 class Link:
@@ -69,7 +69,6 @@
             messages: Number of messages in it.
         """
         if self._queued_bytes + len(frame) > MAX_QUEUE_BYTES:
-            self._counters.dropped_links += 1
             self._counters.dropped_messages += messages
             self.drop(f'{self._queued_bytes} bytes are waiting')
             return
@@ -84,6 +83,7 @@
             cause: Why, for the log.
         """
         if self.open:
+            self._counters.dropped_links += 1
             _log.warning('peers: drop link to %s: %s', self.peer.name, cause)
         self.open = False
         self._scope.cancel()
@@ -116,7 +116,7 @@
                 messages = decode_frame(frame)
                 self._counters.count_received(len(messages), len(frame))
                 for message in messages:
-                    receive(self.peer, message)
+                    receive(message)
         except ConnectionClosed as closed:
             _log.info('peers: link to %s ended: %s', self.peer.name, closed)
         except FrameError as error:
