Add the open-loop load tool, its fault table and the idle response run

Jobs arrive by a seeded schedule in worker processes of the tool and never wait for answers; a response counts from the scheduled arrival, so a stall of the system or the tool counts in full, and the tool's own lateness is reported. Every task carries a value of its own, so crossed or partial answers show. The stand-ins' start records are checked for double, stray and missing starts and for starts of jobs that were said not to have run; a broken promise exits 1.

Weighed: a loop that waits for answers (hides stalls), one process (HTTP costs over 1 ms a side). The sparse partners' jobs have a seed of their own, so runs with and without the flood offer the same ones.

Not yet run against real processes.

--- /dev/null
+++ b/packages/cli/cactushead_cli/bench/__init__.py
@@ -0,0 +1,16 @@
+"""Load and response measurements against running processes."""
+
+from .report import Report
+from .response import ResponseReport, ResponseRun
+from .run import LoadRun, RunOptions
+from .shapes import SHAPES, LoadSpec
+
+__all__ = [
+    'SHAPES',
+    'LoadRun',
+    'LoadSpec',
+    'Report',
+    'ResponseReport',
+    'ResponseRun',
+    'RunOptions',
+]
--- /dev/null
+++ b/packages/cli/cactushead_cli/bench/cluster.py
@@ -0,0 +1,155 @@
+"""The processes of a running cluster, as `scripts/cluster.py` lists them."""
+
+import json
+import os
+import shlex
+import signal
+import subprocess  # noqa: S404  restarts a process by its own command
+from dataclasses import dataclass
+
+from ..addresses import read_input_file
+from ..client import (
+    Client,
+    ClientError,
+    Fields,
+    TimelineQuery,
+    Transport,
+    UsageError,
+)
+
+LEADER_EVENT = 'leader elected'
+
+
+@dataclass(frozen=True, slots=True)
+class ClusterProcess:
+    """One process of the cluster.
+
+    Attributes:
+        role: `entry`, `agent` or `upstream`.
+        name: Name of the process.
+        pid: Its process id.
+        url: Its HTTP address, empty for none.
+        command: The command that starts it again.
+    """
+
+    role: str
+    name: str
+    pid: int
+    url: str
+    command: tuple[str, ...]
+
+
+class Cluster:
+    """Ends, freezes and restarts processes, each by its own id."""
+
+    def __init__(self, processes: tuple[ClusterProcess, ...]) -> None:
+        """Keeps the listed processes."""
+        self._processes = {process.name: process for process in processes}
+        self._restarted: list[subprocess.Popen[bytes]] = []
+
+    def of_role(self, role: str) -> list[ClusterProcess]:
+        """Returns the processes of a role, in the order of the list."""
+        return [
+            process
+            for process in self._processes.values()
+            if process.role == role
+        ]
+
+    def named(self, name: str) -> ClusterProcess:
+        """Returns a process.
+
+        Raises:
+            UsageError: If there is none of this name.
+        """
+        if name not in self._processes:
+            raise UsageError(f'no process {name!r} in the cluster file')
+        return self._processes[name]
+
+    def kill(self, process: ClusterProcess) -> None:
+        """Kills a process at once."""
+        os.kill(process.pid, signal.SIGKILL)
+
+    def terminate(self, process: ClusterProcess) -> None:
+        """Asks a process to stop gracefully."""
+        os.kill(process.pid, signal.SIGTERM)
+
+    def freeze(self, process: ClusterProcess) -> None:
+        """Stops a process in its tracks."""
+        os.kill(process.pid, signal.SIGSTOP)
+
+    def thaw(self, process: ClusterProcess) -> None:
+        """Lets a frozen process go on."""
+        os.kill(process.pid, signal.SIGCONT)
+
+    def restart(self, process: ClusterProcess) -> None:
+        """Starts a process again by its command."""
+        self._restarted.append(subprocess.Popen(process.command))  # noqa: S603
+
+    def close(self) -> None:
+        """Ends the processes that were restarted here."""
+        for started in self._restarted:
+            started.terminate()
+        for ended in self._restarted:
+            ended.wait()
+
+
+def read_cluster(file_name: str) -> Cluster:
+    """Reads the JSON line that the cluster script prints.
+
+    Args:
+        file_name: File that holds the line.
+
+    Raises:
+        UsageError: If the file doesn't hold such a list.
+    """
+    body = read_input_file(file_name)
+    try:
+        listed = json.loads(body)
+    except ValueError as error:
+        raise UsageError(f'{file_name}: {error}') from error
+    if isinstance(listed, dict):
+        listed = listed.get('processes')
+    if not isinstance(listed, list) or not listed:
+        raise UsageError(f'{file_name}: expected a list of processes')
+    return Cluster(tuple(_read_process(Fields(found)) for found in listed))
+
+
+def _read_process(fields: Fields) -> ClusterProcess:
+    command = fields.texts('command') or tuple(
+        shlex.split(fields.text('command')),
+    )
+    return ClusterProcess(
+        role=fields.text('role'),
+        name=fields.text('name'),
+        pid=fields.whole('pid'),
+        url=fields.text('url'),
+        command=command,
+    )
+
+
+async def find_leader(
+    cluster: Cluster,
+    transport: Transport,
+) -> ClusterProcess:
+    """Returns the entry that leads, by the time line's last election.
+
+    Args:
+        cluster: The cluster.
+        transport: Carries the requests.
+
+    Raises:
+        UsageError: If the time line shows no election.
+    """
+    entries = cluster.of_role('entry')
+    client = Client(transport, [entry.url for entry in entries])
+    try:
+        events = await client.timeline(TimelineQuery())
+    except ClientError as error:
+        raise UsageError(f"can't find the leader: {error}") from error
+    names = {entry.name for entry in entries}
+    elected = [event for event in events if event.text('kind') == LEADER_EVENT]
+    for event in reversed(elected):
+        for name in (event.text('subject'), event.text('process')):
+            if name in names:
+                return cluster.named(name)
+    raise UsageError('the time line shows no election of a leader')
--- /dev/null
+++ b/packages/cli/cactushead_cli/bench/starts.py
@@ -0,0 +1,68 @@
+"""The stand-in upstreams' own records of the tasks that they started."""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+
+from ..client import Fields, UsageError
+
+STARTS_PATTERN = 'starts/*.jsonl'
+
+
+@dataclass(frozen=True, slots=True)
+class TaskStart:
+    """One start of a task at an upstream.
+
+    Attributes:
+        upstream: Name of the upstream.
+        job_key: Idempotency key of the job.
+        task_index: Index of the task in its job.
+        time_s: Wall clock of the start.
+    """
+
+    upstream: str
+    job_key: str
+    task_index: int
+    time_s: float
+
+
+def read_starts(starts_dir: str, run: str) -> list[TaskStart]:
+    """Reads the starts of one run's jobs.
+
+    Args:
+        starts_dir: Folder that holds `starts/*.jsonl`, or the files' own.
+        run: Prefix of the run's idempotency keys.
+
+    Raises:
+        UsageError: If the folder holds no start record at all.
+    """
+    folder = Path(starts_dir)
+    files = sorted(folder.glob(STARTS_PATTERN)) or sorted(
+        folder.glob('*.jsonl'),
+    )
+    if not files:
+        raise UsageError(f'no start records (*.jsonl) in {starts_dir}')
+    prefix = f'{run}-'
+    return [
+        start
+        for file in files
+        for start in _read_file(file)
+        if start.job_key.startswith(prefix)
+    ]
+
+
+def _read_file(file: Path) -> Iterable[TaskStart]:
+    for line in file.read_bytes().splitlines():
+        fields = Fields.decode(line)
+        yield TaskStart(
+            upstream=file.stem,
+            job_key=fields.text('job_key'),
+            task_index=fields.whole('task_index', -1),
+            time_s=fields.number('time_s'),
+        )
+
+
+def count_starts(starts: Iterable[TaskStart]) -> 'Counter[tuple[str, int]]':
+    """Returns how often each task was started, by key and index."""
+    return Counter((start.job_key, start.task_index) for start in starts)
--- /dev/null
+++ b/packages/cli/cactushead_cli/bench/summary.py
@@ -0,0 +1,155 @@
+"""Reports as text."""
+
+from collections.abc import Sequence
+
+from ..client import Fields
+from ..output import format_table
+from .costs import TaskCosts
+from .percentiles import Percentiles
+from .report import Report, Tally
+
+NOT_MEASURED = 'not measured'
+PERCENTILE_HEAD = ('', 'count', 'p50', 'p90', 'p99', 'p99.9', 'max')
+COMPARED = (
+    ('ratio', ('p50', 'p90', 'p99', 'p999', 'max')),
+    ('added_s', ('p50', 'p90', 'p99', 'p999', 'max')),
+    ('costs', ('frames', 'messages', 'size_bytes', 'records')),
+    ('costs', ('wasted_frames', 'wasted_messages')),
+)
+
+
+def summarise_report(report: Report) -> list[str]:
+    """Returns a report as lines of text.
+
+    Args:
+        report: The report.
+    """
+    spec = report.spec
+    lines = [
+        f'run {report.run}: {spec.shape} at load {spec.load:g} on '
+        f'{spec.upstreams} upstreams of {spec.slots} slots, '
+        f'{spec.duration_s:g} s, seed {spec.seed}',
+        f'jobs: {report.jobs} with {report.tasks} tasks; '
+        f'{_join(report.ends)}; cancelled {report.cancelled}, '
+        f'resubmitted {report.resubmitted}',
+        f'throughput: {report.tasks_per_s:.1f} useful tasks/s',
+        '',
+        *format_table(_percentile_rows(report)),
+        '',
+        f'refusals: {_join(report.refusals)}',
+        f'failures: {_join(report.failures)}',
+    ]
+    lines.extend(_cost_lines(report.costs))
+    lines.extend(
+        f'fault: {note.at_s:.2f} s {note.step}' for note in report.faults
+    )
+    lines.append('')
+    lines.extend(_promise_lines(report))
+    return lines
+
+
+def percentile_row(name: str, found: Percentiles) -> list[str]:
+    """Returns one row of a table of percentiles.
+
+    Args:
+        name: What is measured.
+        found: The percentiles.
+    """
+    shown = (found.p50, found.p90, found.p99, found.p999, found.max)
+    return [name, str(found.count), *(f'{value:.3f}' for value in shown)]
+
+
+def compare_reports(first: Fields, second: Fields) -> list[str]:
+    """Returns two decoded reports side by side.
+
+    Args:
+        first: The report before a change.
+        second: The report after it.
+    """
+    rows = [['measure', 'A', 'B', 'B/A']]
+    for section, names in COMPARED:
+        rows.extend(
+            _compared_row(f'{section} {name}', section, name, first, second)
+            for name in names
+        )
+    rows.append(_number_row('tasks_per_s', first, second))
+    for report_name in ('jobs', 'cancelled', 'resubmitted'):
+        rows.append(_number_row(report_name, first, second))
+    rows.append(
+        [
+            'broken promises',
+            str(_broken_count(first)),
+            str(_broken_count(second)),
+            '',
+        ]
+    )
+    return format_table(rows)
+
+
+def _percentile_rows(report: Report) -> list[Sequence[str]]:
+    rows: list[Sequence[str]] = [
+        PERCENTILE_HEAD,
+        percentile_row('response/ideal', report.ratio),
+        percentile_row('added, s', report.added_s),
+    ]
+    if len(report.callers) <= 10:
+        rows.extend(
+            percentile_row(f'  ratio of {caller.caller}', caller.ratio)
+            for caller in report.callers
+        )
+    rows.append(percentile_row('load tool late, s', report.send_delay_s))
+    return rows
+
+
+def _cost_lines(costs: TaskCosts) -> list[str]:
+    return [
+        'per useful task: '
+        f'frames {_shown(costs.frames)}, messages {_shown(costs.messages)}, '
+        f'bytes {_shown(costs.size_bytes)}, records {_shown(costs.records)}',
+        f'wasted per useful task: frames {_shown(costs.wasted_frames)}, '
+        f'messages {_shown(costs.wasted_messages)}',
+    ]
+
+
+def _promise_lines(report: Report) -> list[str]:
+    lines = [
+        f'{"BROKEN" if broken.count else "kept"}: {broken.promise}: '
+        f'{broken.count} {", ".join(broken.cases)}'.rstrip()
+        for broken in report.promises
+    ]
+    if not report.starts_checked:
+        lines.append('starts: not checked, no --starts_dir given')
+    return lines
+
+
+def _join(tallies: Sequence[Tally]) -> str:
+    shown = (f'{tally.label} {tally.count}' for tally in tallies)
+    return ', '.join(shown) or 'none'
+
+
+def _shown(cost: float | None) -> str:
+    return NOT_MEASURED if cost is None else f'{cost:.3f}'
+
+
+def _compared_row(
+    title: str,
+    section: str,
+    name: str,
+    first: Fields,
+    second: Fields,
+) -> list[str]:
+    row = _number_row(name, first.child(section), second.child(section))
+    return [title, *row[1:]]
+
+
+def _number_row(name: str, first: Fields, second: Fields) -> list[str]:
+    if first.raw.get(name) is None or second.raw.get(name) is None:
+        return [name, NOT_MEASURED, NOT_MEASURED, '']
+    before = first.number(name)
+    after = second.number(name)
+    ratio = f'{after / before:.3f}' if before else ''
+    return [name, f'{before:.3f}', f'{after:.3f}', ratio]
+
+
+def _broken_count(report: Fields) -> int:
+    return sum(found.whole('count') for found in report.children('promises'))
--- /dev/null
+++ b/packages/cli/cactushead_cli/bench/tests/test_costs.py
@@ -0,0 +1,42 @@
+"""Tests of the counters' reader."""
+
+import pytest
+from cactushead_cli.bench.costs import (
+    counted_between,
+    flatten_counters,
+    task_costs,
+)
+
+
+def test_counters_are_found_wherever_they_stand():
+    raw = {
+        'links': {'sent_frames': 3, 'up': True},
+        'peers': [{'sent_frames': 4}, {'received_frames': 1}],
+    }
+    assert flatten_counters(raw) == {'sent_frames': 7, 'received_frames': 1}
+
+
+def test_restarted_entry_counts_from_zero():
+    before = [{'sent_frames': 100}, {'sent_frames': 10}]
+    after = [{'sent_frames': 30}, {'sent_frames': 15}]
+    assert counted_between(before, after) == {'sent_frames': 35}
+
+
+def test_costs_are_for_each_useful_task():
+    grown = {
+        'sent_frames': 10,
+        'received_frames': 20,
+        'sent_messages': 40,
+        'appended_records': 15,
+    }
+    costs = task_costs(grown, 10)
+    assert (costs.frames, costs.messages, costs.records) == (3, 4, 1.5)
+    assert costs.wasted_frames == pytest.approx(2.5)
+    assert costs.size_bytes is None
+
+
+@pytest.mark.parametrize('useful_tasks', [0, 5])
+def test_absent_counters_are_not_measured(useful_tasks):
+    costs = task_costs({}, useful_tasks)
+    assert costs.frames is None
+    assert costs.wasted_messages is None
--- a/packages/cli/cactushead_cli/commands/root.py
+++ b/packages/cli/cactushead_cli/commands/root.py
@@ -3,6 +3,7 @@
 from fire.decorators import SetParseFn
 
 from ..client import Submission, TimelineQuery
+from .bench import BenchCommands
 from .context import Action, Context
 from .documents import DocumentCommands
 from .jobs import (
@@ -48,6 +49,7 @@
         """Reads the options of all commands."""
         self._context = Context(entry, settings, json)
         self.document = DocumentCommands(self._context)
+        self.bench = BenchCommands(self._context)
         self.settings = SettingsCommands(self._context)
 
     @SetParseFn(str)
--- a/packages/cli/cactushead_cli/main.py
+++ b/packages/cli/cactushead_cli/main.py
@@ -45,9 +45,20 @@
 
 def _run(words: list[str]) -> int:
     action = fire.Fire(Cactushead, words, PROGRAM, serialize=_hide_action)
-    if isinstance(action, Action):
+    if not isinstance(action, Action):
+        return EXIT_BAD_USE
+    try:
         return trio.run(action.perform)
-    return EXIT_BAD_USE
+    except BaseExceptionGroup as group:
+        raise _first_leaf(group) from group
+
+
+def _first_leaf(group: BaseExceptionGroup) -> BaseException:
+    """Returns the first error of a nursery, leaving out its cancellations."""
+    leaf: BaseException = group
+    while isinstance(leaf, BaseExceptionGroup):
+        leaf = leaf.exceptions[0]
+    return leaf
 
 
 def _hide_action(component: object) -> object:
