Report what the start records show after each step of a fault

The longest time without a start anywhere tells how long a killed leader or agent held up the work; a leaving upstream's own last start tells how long it was still given some.

--- a/packages/cli/cactushead_cli/bench/faults.py
+++ b/packages/cli/cactushead_cli/bench/faults.py
@@ -48,10 +48,16 @@
             raise UsageError('this fault needs --cluster FILE')
         return self.cluster
 
-    def note(self, step: str) -> None:
-        """Adds a step to the report."""
+    def note(self, step: str, process: str = '') -> None:
+        """Adds a step to the report.
+
+        Args:
+            step: What is done.
+            process: Name of the process that it is done to.
+        """
         passed_s = time.monotonic() - self.start_s
-        self.notes.append(FaultNote(passed_s, time.time(), step))
+        text = f'{step} {process}' if process else step
+        self.notes.append(FaultNote(passed_s, time.time(), text, process))
 
     async def sleep_until(self, at_s: float) -> None:
         """Waits for a time of the run."""
@@ -101,11 +107,11 @@
 
     async def _perform(self, plan: FaultPlan) -> None:
         leader = await find_leader(plan.processes, plan.transport)
+        plan.note('killed leader', leader.name)
         plan.processes.kill(leader)
-        plan.note(f'killed leader {leader.name}')
         await trio.sleep(RESTART_AFTER_S)
         plan.processes.restart(leader)
-        plan.note(f'restarted {leader.name}')
+        plan.note('restarted', leader.name)
 
 
 class KillAgent(Fault):
@@ -113,11 +119,11 @@
 
     async def _perform(self, plan: FaultPlan) -> None:
         agent = plan.processes.of_role('agent')[0]
+        plan.note('killed agent', agent.name)
         plan.processes.kill(agent)
-        plan.note(f'killed agent {agent.name}')
         await trio.sleep(RESTART_AFTER_S)
         plan.processes.restart(agent)
-        plan.note(f'restarted {agent.name}')
+        plan.note('restarted', agent.name)
 
 
 class FreezeAgent(Fault):
@@ -126,12 +132,12 @@
     async def _perform(self, plan: FaultPlan) -> None:
         agent = plan.processes.of_role('agent')[0]
         plan.processes.freeze(agent)
-        plan.note(f'froze agent {agent.name}')
+        plan.note('froze agent', agent.name)
         try:
             await trio.sleep(FREEZE_S)
         finally:
             plan.processes.thaw(agent)
-            plan.note(f'thawed agent {agent.name}')
+            plan.note('thawed agent', agent.name)
 
 
 class Stragglers(Fault):
@@ -139,7 +145,7 @@
 
     async def _perform(self, plan: FaultPlan) -> None:
         upstream = plan.processes.of_role('upstream')[0]
-        plan.note(f'slowed upstream {upstream.name}')
+        plan.note('slowed upstream', upstream.name)
         end_s = trio.current_time() + STRAGGLE_S
         while trio.current_time() < end_s:
             plan.processes.freeze(upstream)
@@ -148,7 +154,7 @@
             finally:
                 plan.processes.thaw(upstream)
             await trio.sleep(STRAGGLE_RUN_S)
-        plan.note(f'upstream {upstream.name} runs at full speed')
+        plan.note('restored speed of upstream', upstream.name)
 
 
 class LeaveUpstream(Fault):
@@ -156,8 +162,8 @@
 
     async def _perform(self, plan: FaultPlan) -> None:
         agent = plan.processes.of_role('agent')[0]
+        plan.note('terminated agent', agent.name)
         plan.processes.terminate(agent)
-        plan.note(f'terminated agent {agent.name}')
 
 
 class Burst(Fault):
--- a/packages/cli/cactushead_cli/bench/report.py
+++ b/packages/cli/cactushead_cli/bench/report.py
@@ -6,7 +6,7 @@
 from dataclasses import asdict, dataclass
 
 from .costs import Counters, TaskCosts, task_costs
-from .fault_model import FaultNote
+from .fault_model import FaultEffect, FaultNote, fault_effect
 from .percentiles import Percentiles, summarise
 from .promises import Broken, RunEvidence, check_promises
 from .records import JobEnd, JobRecord
@@ -64,6 +64,7 @@
         promises: The promises that were checked.
         starts_checked: Whether start records were there to check.
         faults: What was done to the system.
+        effects: What the start records show after each of these.
         send_delay_s: How late the load tool itself was.
     """
 
@@ -84,6 +85,7 @@
     promises: tuple[Broken, ...]
     starts_checked: bool
     faults: tuple[FaultNote, ...]
+    effects: tuple[FaultEffect, ...]
     send_delay_s: Percentiles
 
     @property
@@ -138,6 +140,9 @@
         promises=check_promises(evidence),
         starts_checked=evidence.starts is not None,
         faults=tuple(faults),
+        effects=tuple(
+            fault_effect(note, evidence.starts or ()) for note in faults
+        ),
         send_delay_s=summarise(record.send_delay_s for record in records),
     )
 
--- a/packages/cli/cactushead_cli/bench/run.py
+++ b/packages/cli/cactushead_cli/bench/run.py
@@ -86,12 +86,15 @@
 
     async def perform(self) -> Report:
         """Does the run and works out the report."""
-        before = await read_counters(self._options.entries)
         try:
-            await self._offer_load()
+            return await self._measure()
         finally:
             if self._cluster is not None:
                 self._cluster.close()
+
+    async def _measure(self) -> Report:
+        before = await read_counters(self._options.entries)
+        await self._offer_load()
         final_states = await self._settle()
         after = await read_counters(self._options.entries)
         starts = None
--- a/packages/cli/cactushead_cli/bench/summary.py
+++ b/packages/cli/cactushead_cli/bench/summary.py
@@ -40,9 +40,7 @@
         f'failures: {_join(report.failures)}',
     ]
     lines.extend(_cost_lines(report.costs))
-    lines.extend(
-        f'fault: {note.at_s:.2f} s {note.step}' for note in report.faults
-    )
+    lines.extend(_fault_lines(report))
     lines.append('')
     lines.extend(_promise_lines(report))
     return lines
@@ -111,6 +109,15 @@
     ]
 
 
+def _fault_lines(report: Report) -> list[str]:
+    return [
+        f'fault: {note.at_s:.2f} s {note.step}; longest time without a start '
+        f'{_shown(effect.longest_gap_s)} s, its own last start after '
+        f'{_shown(effect.last_start_s)} s'
+        for note, effect in zip(report.faults, report.effects, strict=True)
+    ]
+
+
 def _promise_lines(report: Report) -> list[str]:
     lines = [
         f'{"BROKEN" if broken.count else "kept"}: {broken.promise}: '
--- a/packages/cli/cactushead_cli/bench/tests/test_report.py
+++ b/packages/cli/cactushead_cli/bench/tests/test_report.py
@@ -1,6 +1,6 @@
 """Tests of reports, their comparison and plot."""
 
-from cactushead_cli.bench.fault_model import FaultNote
+from cactushead_cli.bench.fault_model import FaultNote, fault_effect
 from cactushead_cli.bench.percentiles import summarise
 from cactushead_cli.bench.plot import plot_reports
 from cactushead_cli.bench.promises import RunEvidence
@@ -8,6 +8,7 @@
 from cactushead_cli.bench.report import make_report
 from cactushead_cli.bench.schedule import PlannedJob
 from cactushead_cli.bench.shapes import LoadSpec
+from cactushead_cli.bench.starts import TaskStart
 from cactushead_cli.bench.summary import compare_reports, summarise_report
 from cactushead_cli.client import Fields
 
@@ -64,6 +65,14 @@
     assert 'fault: 1.00 s killed' in text
 
 
+def test_effect_is_read_from_the_starts():
+    starts = [TaskStart('u1', 'r-0', 0, at_s) for at_s in (4.0, 5.5, 9.0)]
+    effect = fault_effect(FaultNote(1.0, 5.0, 'killed u1', 'u1'), starts)
+    assert (effect.longest_gap_s, effect.last_start_s) == (3.5, 4.0)
+    effect = fault_effect(FaultNote(1.0, 10.0, 'killed u1', 'u1'), starts)
+    assert (effect.longest_gap_s, effect.last_start_s) == (None, None)
+
+
 def test_reports_compare_by_ratio():
     first = Fields.decode(report().encode().encode())
     lines = compare_reports(first, first)
--- a/packages/cli/cactushead_cli/commands/bench.py
+++ b/packages/cli/cactushead_cli/commands/bench.py
@@ -13,6 +13,7 @@
     ResponseRun,
     RunOptions,
 )
+from ..bench.cluster import read_cluster
 from ..bench.summary import (
     PERCENTILE_HEAD,
     compare_reports,
@@ -71,7 +72,8 @@
             load: Offered work over what all slots can do.
             duration_s: Time over which jobs arrive.
             seed: Seed of the schedule.
-            entries: Addresses of the entries; as --entry if left out.
+            entries: Addresses of the entries; those of --cluster or --entry
+                if left out.
             starts_dir: Folder with the upstreams' start records.
             processes: Worker processes of the load tool.
             out: File for the report, JSON.
@@ -100,7 +102,7 @@
                     alone,
                 ),
                 service=service,
-                entries=self._entries(entries),
+                entries=self._run_entries(entries, cluster),
                 starts_dir=starts_dir,
                 processes=processes,
                 deadline_s=deadline_s,
@@ -190,6 +192,12 @@
 
         return Action(perform)
 
+    def _run_entries(self, listed: str, cluster: str) -> tuple[str, ...]:
+        if listed or not cluster:
+            return self._entries(listed)
+        entries = read_cluster(cluster).of_role('entry')
+        return tuple(entry.url for entry in entries)
+
     def _entries(self, listed: str) -> tuple[str, ...]:
         if listed:
             return split_entries(listed)
