--- a/packages/cli/cactushead_cli/bench/cluster.py
+++ b/packages/cli/cactushead_cli/bench/cluster.py
@@ -44,26 +44,12 @@
 
     def __init__(self, processes: tuple[ClusterProcess, ...]) -> None:
         """Keeps the listed processes."""
-        self._processes = {process.name: process for process in processes}
+        self._processes = processes
         self._restarted: list[subprocess.Popen[bytes]] = []
 
     def of_role(self, role: str) -> list[ClusterProcess]:
         """Returns the processes of a role, in the order of the list."""
-        return [
-            process
-            for process in self._processes.values()
-            if process.role == role
-        ]
-
-    def named(self, name: str) -> ClusterProcess:
-        """Returns a process.
-
-        Raises:
-            UsageError: If there is none of this name.
-        """
-        if name not in self._processes:
-            raise UsageError(f'no process {name!r} in the cluster file')
-        return self._processes[name]
+        return [process for process in self._processes if process.role == role]
 
     def kill(self, process: ClusterProcess) -> None:
         """Kills a process at once."""
@@ -146,10 +132,10 @@
         events = await client.timeline(TimelineQuery())
     except ClientError as error:
         raise UsageError(f"can't find the leader: {error}") from error
-    names = {entry.name for entry in entries}
+    by_name = {entry.name: entry for entry in entries}
     elected = [event for event in events if event.text('kind') == LEADER_EVENT]
     for event in reversed(elected):
         for name in (event.text('subject'), event.text('process')):
-            if name in names:
-                return cluster.named(name)
+            if name in by_name:
+                return by_name[name]
     raise UsageError('the time line shows no election of a leader')
--- a/packages/cli/cactushead_cli/bench/tests/test_faults.py
+++ b/packages/cli/cactushead_cli/bench/tests/test_faults.py
@@ -16,7 +16,7 @@
     {'role': 'entry', 'name': 'e1', 'pid': 11, 'url': 'http://a'},
     {'role': 'entry', 'name': 'e2', 'pid': 12, 'url': 'http://b'},
     {'role': 'agent', 'name': 'u1', 'pid': 21, 'url': ''},
-    {'role': 'upstream', 'name': 'up', 'pid': 31, 'url': 'http://c'},
+    {'role': 'upstream', 'name': 'u1', 'pid': 31, 'url': 'http://c'},
 ]
 ELECTIONS = b'\n'.join(
     (
@@ -57,7 +57,8 @@
     listed = [{**found, 'command': ['run', found['name']]} for found in LISTED]
     path.write_text(json.dumps(listed))
     read = read_cluster(str(path))
-    processes = [read.named(found['name']) for found in LISTED]
+    roles = ('entry', 'agent', 'upstream')
+    processes = [found for role in roles for found in read.of_role(role)]
     return RecordedCluster(tuple(processes))
 
 
