Put a job's admission before its end in the log

Cause: a job cancelled in the loop turn of its submission had its end proposed before its admission, which every voter then refused to apply and stopped. Ruled out: a reordered log; the entries were committed as proposed.

--- a/packages/core/cactushead_core/entry/context.py
+++ b/packages/core/cactushead_core/entry/context.py
@@ -42,7 +42,9 @@
         replica: The replicated log.
         state: The replicated state.
         scheduler: The scheduler of this term.
-        proposals: Records that leave at the end of the turn.
+        admissions: Admissions of the turn; they precede all records that
+            may be about their jobs.
+        proposals: Other records that leave at the end of the turn.
         commits: Decisions that wait for a commit.
         effects: Effects for the shell.
         memory_index: Last index that a majority holds in memory.
@@ -54,6 +56,7 @@
     replica: Replica
     state: ReplicatedState
     scheduler: Scheduler
+    admissions: list[Proposal] = field(default_factory=list)
     proposals: list[Proposal] = field(default_factory=list)
     commits: CommitQueue[OnCommit] = field(default_factory=CommitQueue)
     effects: list[Effect] = field(default_factory=list)
@@ -79,9 +82,10 @@
 
     def flush_proposals(self) -> None:
         """Hands the turn's records to the log."""
-        proposals = self.proposals
+        proposals = self.admissions + self.proposals
         if not proposals:
             return
+        self.admissions = []
         self.proposals = []
         commands = [encode_message(proposal.record) for proposal in proposals]
         last_index = self.replica.propose(commands)
--- a/packages/core/cactushead_core/entry/placing.py
+++ b/packages/core/cactushead_core/entry/placing.py
@@ -119,7 +119,9 @@
             for placement in placements:
                 self._release_placement(placement, now_s)
 
-        self._context.propose(Proposal(record, admitted, job.synced))
+        self._context.admissions.append(
+            Proposal(record, admitted, job.synced),
+        )
 
     def _propose_placements(
         self,
--- a/packages/core/cactushead_core/entry/tests/test_path.py
+++ b/packages/core/cactushead_core/entry/tests/test_path.py
@@ -105,6 +105,15 @@
     assert not any(task.startswith('sample/k/') for task in cluster.starts)
 
 
+def test_cancelled_in_the_turn_of_its_admission(cluster):
+    # The end of a job must not stand before its admission in the log.
+    asked = submit(cluster, sample_request('k'))
+    cluster.ask('e0', JobCancelRequested, JobId(SERVICE, 'k'))
+    assert answer(cluster, asked).answer.not_run
+    cluster.run(1.0)
+    assert not cluster.starts
+
+
 def test_cancelled_while_running(cluster):
     for process in cluster.processes.values():
         if process.upstream:
--- a/packages/core/cactushead_core/entry/tests/test_safety.py
+++ b/packages/core/cactushead_core/entry/tests/test_safety.py
@@ -28,9 +28,9 @@
 )
 from cactushead_core.jobs import JobState
 
-ENTRIES = ('e0', 'e3')
+ENTRIES = ('e0', 'e1', 'e2', 'e3')
 AGENTS = ('a0', 'a1', 'a2')
-VOTERS = ('e0',)
+VOTERS = ('e0', 'e1', 'e2')
 PROCESSES = ENTRIES + AGENTS
 KINDS = ('echo', 'book')
 SETTLE_S = 90.0
@@ -41,7 +41,7 @@
 
     def __init__(self):
         super().__init__()
-        self.cluster = Cluster(entries=4, voters=1, agents=3, slots=2)
+        self.cluster = Cluster(entries=4, voters=3, agents=3, slots=2)
         self.cluster.duplicate = 0.05
         self.asked = {}
         self.documents = {}
