Bound what slow and greedy callers hold of an entry

- A body must arrive in 30 s (408): a stalled upload kept its task, and held a shutdown until the end of the drain time.
- Bodies that are being read share 32 MiB (503, not run): a thousand uploads of the largest size would take 4 GB.
- A reply that its caller doesn't read ends the connection after 30 s without progress.
Hypercorn shields its writes from cancellation, so such a caller held the process's shutdown for ever: with the guard removed, test_caller_that_does_not_read_holds_no_shutdown did not end in 20 s.
- A body is dropped once it is parsed, not when its job has ended.

--- a/packages/node/cactushead_node/callers/app.py
+++ b/packages/node/cactushead_node/callers/app.py
@@ -17,17 +17,12 @@
 )
 from cactushead_core.jobs import JobId, Refusal, RefusalReason
 
-from .exchange import (
-    HIGHEST_BODY_BYTES,
-    BodyTooLargeError,
-    CallerGoneError,
-    Exchange,
-    Receive,
-    Scope,
-    SendMessage,
-)
+from .budget import BodyBudget
+from .errors import BodyError, CallerGoneError
+from .exchange import Exchange, Receive, Scope, SendMessage
 from .port import MakeEvent, RequestPort, StatusPort
 from .reply import (
+    LOWEST_RETRY_S,
     Header,
     Reply,
     error_reply,
@@ -58,6 +53,7 @@
         """
         self._requests = requests
         self._status = status
+        self._budget = BodyBudget()
         self._handlers: dict[Resource, dict[str, _Handler]] = {
             Resource.JOBS: {'POST': self._submit_job},
             Resource.JOB: {'GET': self._query_job, 'DELETE': self._cancel_job},
@@ -121,9 +117,8 @@
             return await self._dispatch(exchange)
         except InvalidInputError as error:
             return _refuse(RefusalReason.INVALID, *error.findings)
-        except BodyTooLargeError:
-            finding = f'must be up to {HIGHEST_BODY_BYTES} bytes'
-            return _refuse(RefusalReason.TOO_LARGE, Finding('$', finding))
+        except BodyError as error:
+            return _refuse_body(error)
 
     async def _dispatch(self, exchange: Exchange) -> Reply:
         route = find_route(exchange.raw_path)
@@ -142,14 +137,14 @@
                 not_run=True,
                 headers=(Header('allow', ', '.join(methods)),),
             )
-        await exchange.read_body()
+        await exchange.read_body(self._budget)
         return await handler(exchange, route)
 
     async def _submit_job(self, exchange: Exchange, route: Route) -> Reply:
         if not is_name(route.service):
             return _refuse(RefusalReason.UNKNOWN_SERVICE)
         key = check_key(exchange.header_texts('idempotency-key'))
-        request = parse_job(exchange.body, JobId(route.service, key))
+        request = parse_job(exchange.take_body(), JobId(route.service, key))
         wait = not _prefers_async(exchange.header_texts('prefer'))
         return response_reply(
             await self._ask(
@@ -180,7 +175,7 @@
         )
 
     async def _submit_document(self, exchange: Exchange, route: Route) -> Reply:
-        document = parse_document(exchange.body, route.service)
+        document = parse_document(exchange.take_body(), route.service)
         return response_reply(
             await self._ask(
                 exchange,
@@ -255,6 +250,19 @@
     return refusal_reply(Refusal(reason, findings=findings))
 
 
+def _refuse_body(error: BodyError) -> Reply:
+    headers: tuple[Header, ...] = ()
+    if error.status is HTTPStatus.SERVICE_UNAVAILABLE:
+        headers = (Header('retry-after', str(LOWEST_RETRY_S)),)
+    return error_reply(
+        error.status,
+        error.summary,
+        not_run=True,
+        findings=(Finding('$', str(error)),),
+        headers=headers,
+    )
+
+
 def _prefers_async(texts: list[str]) -> bool:
     preferences = ','.join(texts).lower().split(',')
     return 'respond-async' in {
--- a/packages/node/cactushead_node/callers/exchange.py
+++ b/packages/node/cactushead_node/callers/exchange.py
@@ -5,11 +5,12 @@
 from typing import Any, TypeVar
 
 import trio
-from cactushead_core.errors import CactusheadError
 
+from .budget import HIGHEST_BODY_BYTES, BodyBudget, Reservation
+from .errors import BodyTooLargeError, CallerGoneError, SlowBodyError
 from .reply import Reply
 
-HIGHEST_BODY_BYTES = 4 * 1024 * 1024
+BODY_TIMEOUT_S = 30.0
 CLOSE_GRACE_S = 1.0
 
 # ASGI describes scopes and messages as mappings.
@@ -21,14 +22,6 @@
 _Outcome = TypeVar('_Outcome')
 
 
-class BodyTooLargeError(CactusheadError):
-    """The body of a request is larger than the limit."""
-
-
-class CallerGoneError(CactusheadError):
-    """The caller hung up before it had its reply."""
-
-
 class Exchange:
     """Reads one request and writes its reply."""
 
@@ -48,7 +41,7 @@
         self.method = str(scope['method'])
         self.raw_path = _raw_path(scope)
         self.query = scope.get('query_string', b'').decode('ascii', 'replace')
-        self.body = b''
+        self._body = b''
         self._headers = scope.get('headers', ())
         self._receive = receive
         self._send = send
@@ -68,28 +61,30 @@
             if header.lower() == wanted
         ]
 
-    async def read_body(self) -> None:
-        """Reads the body into the attribute `body`.
+    async def read_body(self, budget: BodyBudget) -> None:
+        """Reads the whole body.
+
+        Args:
+            budget: Memory for the bodies that are being read.
 
         Raises:
+            BodyBudgetError: Other bodies take all memory.
             BodyTooLargeError: It is larger than the limit; the rest of it is
                 not read.
             CallerGoneError: The caller hung up.
+            SlowBodyError: The body didn't arrive in time.
         """
         self._check_length()
-        chunks: list[bytes] = []
-        size_bytes = 0
-        while not self._body_read:
-            message = await self._receive()
-            if message['type'] == 'http.disconnect':
-                raise CallerGoneError('caller hung up in its request')
-            chunk = message.get('body', b'')
-            size_bytes += len(chunk)
-            if size_bytes > HIGHEST_BODY_BYTES:
-                raise BodyTooLargeError(f'body has over {size_bytes} bytes')
-            chunks.append(chunk)
-            self._body_read = not message.get('more_body', False)
-        self.body = b''.join(chunks)
+        with trio.move_on_after(BODY_TIMEOUT_S), budget.reserve() as reserved:
+            await self._read_chunks(reserved)
+        if not self._body_read:
+            raise SlowBodyError(f'no whole body in {BODY_TIMEOUT_S} s')
+
+    def take_body(self) -> bytes:
+        """Returns the body and keeps it no longer."""
+        body = self._body
+        self._body = b''
+        return body
 
     async def until_gone(
         self,
@@ -130,7 +125,8 @@
             await self._send_reply(reply)
             return
         if self._http2:
-            await self._skip_body()
+            with trio.move_on_after(BODY_TIMEOUT_S):
+                await self._skip_body()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._cancel_late, nursery.cancel_scope)
             await self._send_reply(reply)
@@ -154,10 +150,26 @@
         )
         await self._send({'type': 'http.response.body', 'body': reply.body})
 
+    async def _read_chunks(self, reserved: Reservation) -> None:
+        chunks: list[bytes] = []
+        size_bytes = 0
+        while not self._body_read:
+            message = await self._receive()
+            if message['type'] == 'http.disconnect':
+                raise CallerGoneError('caller hung up in its request')
+            chunk = message.get('body', b'')
+            size_bytes += len(chunk)
+            if size_bytes > HIGHEST_BODY_BYTES:
+                raise BodyTooLargeError(_size_rule(size_bytes))
+            reserved.grow(len(chunk))
+            chunks.append(chunk)
+            self._body_read = not message.get('more_body', False)
+        self._body = b''.join(chunks)
+
     def _check_length(self) -> None:
         for text in self.header_texts('content-length'):
             if text.isdecimal() and int(text) > HIGHEST_BODY_BYTES:
-                raise BodyTooLargeError(f'body has {text} bytes')
+                raise BodyTooLargeError(_size_rule(int(text)))
 
     async def _cancel_when_gone(self, scope: trio.CancelScope) -> None:
         await self._drop_messages()
@@ -183,6 +195,10 @@
             message_type = message['type']
 
 
+def _size_rule(size_bytes: int) -> str:
+    return f'must be up to {HIGHEST_BODY_BYTES} bytes, got {size_bytes}'
+
+
 def _raw_path(scope: Scope) -> str:
     raw_path = scope.get('raw_path') or scope['path'].encode('utf-8')
     return raw_path.decode('latin-1')
--- a/packages/node/cactushead_node/callers/server.py
+++ b/packages/node/cactushead_node/callers/server.py
@@ -19,6 +19,7 @@
 from hypercorn.typing import ConnectionState
 
 from .app import CallerApp
+from .stream import BoundedStream
 
 LOGGER = logging.getLogger('cactushead.callers')
 
@@ -90,7 +91,13 @@
 ) -> None:
     state = ConnectionState({})
     try:
-        await TCPServer(app, config, context, state, stream)
+        await TCPServer(
+            app,
+            config,
+            context,
+            state,
+            BoundedStream(stream),  # type: ignore[arg-type]
+        )
     except Exception as error:
         LOGGER.warning('connection closed after an error: %r', error)
 
--- a/packages/node/cactushead_node/callers/tests/test_app.py
+++ b/packages/node/cactushead_node/callers/tests/test_app.py
@@ -34,7 +34,7 @@
 from hypothesis import strategies as st
 
 from cactushead_node.callers import make_app
-from cactushead_node.callers.exchange import HIGHEST_BODY_BYTES
+from cactushead_node.callers.budget import HIGHEST_BODY_BYTES, BodyBudget
 
 from .client import ANSWER, JOB, FakeRequests, FakeStatus, call, exchange
 
@@ -219,6 +219,44 @@
     assert not requests.events
 
 
+def test_body_that_stalls_is_refused(monkeypatch):
+    monkeypatch.setattr('cactushead_node.callers.exchange.BODY_TIMEOUT_S', 0.01)
+    requests = FakeRequests()
+    sent = []
+
+    async def send(message):
+        sent.append(message)
+
+    async def run():
+        scope = {'type': 'http', 'method': 'POST', 'path': JOBS}
+        app = make_app(requests, FakeStatus())
+        await app(scope, trio.sleep_forever, send)
+
+    trio.run(run)
+    assert sent[0]['status'] == 408
+    assert json.loads(sent[1]['body'])['not_run'] is True
+    assert not requests.events
+
+
+def test_many_large_bodies_at_once_are_refused():
+    app = make_app(FakeRequests(), FakeStatus())
+    app._budget = BodyBudget(len(json.dumps(BODY)) + 5)
+    body = json.dumps(BODY).encode()
+    headers = [('Idempotency-Key', 'k1')]
+
+    async def run():
+        with app._budget.reserve() as other:
+            other.grow(10)
+            busy = await exchange(app, 'POST', JOBS, headers, (body,))
+        return busy, await exchange(app, 'POST', JOBS, headers, (body,))
+
+    busy, served = trio.run(run)
+    assert (busy.status, served.status) == (503, 200)
+    assert busy.headers['retry-after'] == '1'
+    assert busy.content['not_run'] is True
+    assert app._budget.used_bytes == 0
+
+
 @pytest.mark.parametrize(
     ('method', 'path', 'status', 'allow'),
     [
--- a/packages/node/cactushead_node/callers/tests/test_server.py
+++ b/packages/node/cactushead_node/callers/tests/test_server.py
@@ -11,11 +11,14 @@
 import pytest
 import trio
 import trio.testing
+from cactushead_core.effects import AnswerResponse
+from cactushead_core.jobs import JobAnswer, JobState
 
 from cactushead_node.callers import RequestPort, make_app, serve_callers
-from cactushead_node.callers.exchange import HIGHEST_BODY_BYTES
+from cactushead_node.callers.budget import HIGHEST_BODY_BYTES
+from cactushead_node.callers.stream import BoundedStream
 
-from .client import ANSWER, FakeRequests, FakeStatus
+from .client import ANSWER, JOB, FakeRequests, FakeStatus
 
 JOBS = '/v1/services/sample/jobs'
 HEADERS = {'Idempotency-Key': 'k1'}
@@ -160,6 +163,21 @@
     trio.run(run)
 
 
+def test_caller_that_does_not_read_holds_no_shutdown(monkeypatch):
+    monkeypatch.setattr(BoundedStream.__init__, '__defaults__', (0.2,))
+    large = JobAnswer(JOB, JobState.COMPLETE, (b'1' * 20_000_000,))
+
+    async def run():
+        requests = FakeRequests(AnswerResponse(large))
+        async with serving(requests, drain_s=0.1) as (port, stop):
+            stream = await trio.open_tcp_stream('127.0.0.1', port)
+            await stream.send_all(_request_head(len(BODY)) + BODY)
+            await stream.receive_some(100)
+            stop.set()
+
+    trio.run(run)
+
+
 @pytest.mark.parametrize(
     'sent',
     [
