--- a/packages/node/cactushead_node/observability/metrics.py
+++ b/packages/node/cactushead_node/observability/metrics.py
@@ -2,12 +2,13 @@
 
 import json
 from collections.abc import Callable, Iterator
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
 from prometheus_client.core import (
     CounterMetricFamily,
+    GaugeMetricFamily,
     HistogramMetricFamily,
     Metric,
 )
@@ -42,7 +43,24 @@
 NAMESPACE = 'cactushead'
 
 ReadSource = Callable[[], Any]
-"""Returns a data class of counters that another part keeps."""
+"""Returns a data class of numbers that another part keeps."""
+
+
+@dataclass(frozen=True, slots=True)
+class Source:
+    """Numbers that another part keeps.
+
+    Attributes:
+        read: Returns a data class of the numbers.
+        gauges: Whether the numbers go up and down.
+    """
+
+    read: ReadSource
+    gauges: bool
+
+    def numbers(self) -> dict[str, float]:
+        """Returns the present numbers by name."""
+        return asdict(self.read())
 
 
 class Histogram:
@@ -108,6 +126,7 @@
 
     Attributes:
         histograms: Histograms by name of the metric.
+        sources: Numbers of other parts by name of the part.
     """
 
     def __init__(self, process: str) -> None:
@@ -119,26 +138,29 @@
         super().__init__()
         self.histograms: dict[str, Histogram] = {}
         self._process = process
-        self._sources: dict[str, ReadSource] = {}
+        self.sources: dict[str, Source] = {}
         self._registry = CollectorRegistry()
         self._registry.register(_MetricsCollector(self))
 
-    def add_source(self, name: str, read: ReadSource) -> None:
-        """Shows the counters of another part too.
+    def add_source(
+        self,
+        name: str,
+        read: ReadSource,
+        *,
+        gauges: bool = False,
+    ) -> None:
+        """Shows the numbers of another part too.
 
         Args:
             name: Name of the part, such as `links`.
-            read: Returns a data class of counters.
+            read: Returns a data class of numbers.
+            gauges: Whether the numbers go up and down; counters only go up.
         """
-        self._sources[name] = read
-
-    def sources(self) -> dict[str, dict[str, int]]:
-        """Returns the present counters of the other parts."""
-        return {name: asdict(read()) for name, read in self._sources.items()}
+        self.sources[name] = Source(read, gauges)
 
     def to_json(self) -> bytes:
         """Returns percentiles in seconds, and counters, as JSON."""
-        content = {
+        content: dict[str, Any] = {
             'process': self._process,
             'durations': {
                 metric: histogram.summary()
@@ -149,7 +171,9 @@
                 for metric, counter in sorted(self.counters.items())
             },
         }
-        return json.dumps(content | self.sources()).encode('ascii')
+        for name, source in self.sources.items():
+            content[name] = source.numbers()
+        return json.dumps(content).encode('ascii')
 
     def to_text(self) -> bytes:
         """Returns the metrics in the text form that scrapers read."""
@@ -177,9 +201,8 @@
             yield _histogram_family(metric, histogram)
         for metric, counter in sorted(self._metrics.counters.items()):
             yield _counter_family(metric, counter)
-        for source, counts in self._metrics.sources().items():
-            for name, amount in counts.items():
-                yield _counter_family(f'{source}_{name}', amount)
+        for part, source in self._metrics.sources.items():
+            yield from _source_families(part, source)
 
 
 def _count_up_to(reached: list[tuple[float, int]], bound_s: float) -> int:
@@ -196,15 +219,23 @@
     )
 
 
-def _counter_family(metric: str, counted: Counter | int) -> Metric:
-    name = f'{NAMESPACE}_{metric}'
-    if isinstance(counted, int):
-        return CounterMetricFamily(name, f'Count of {metric}.', value=counted)
+def _counter_family(metric: str, counter: Counter) -> Metric:
     family = CounterMetricFamily(
-        name,
+        f'{NAMESPACE}_{metric}',
         f'Count of {metric}.',
         labels=['label'],
     )
-    for label, amount in sorted(counted.amounts.items()):
+    for label, amount in sorted(counter.amounts.items()):
         family.add_metric([label], amount)
     return family
+
+
+def _source_families(part: str, source: Source) -> Iterator[Metric]:
+    family = GaugeMetricFamily if source.gauges else CounterMetricFamily
+    for name, number in source.numbers().items():
+        metric = f'{part}_{name}'
+        yield family(
+            f'{NAMESPACE}_{metric}',
+            f'Present {metric}.' if source.gauges else f'Count of {metric}.',
+            value=number,
+        )
--- a/packages/node/cactushead_node/observability/tests/test_metrics.py
+++ b/packages/node/cactushead_node/observability/tests/test_metrics.py
@@ -24,6 +24,7 @@
 def make_metrics():
     metrics = Metrics('e1')
     metrics.add_source('links', Links)
+    metrics.add_source('state', Links, gauges=True)
     for number in range(1, 1001):
         metrics.measure(Measure('run_s', number / 1000))
     metrics.count(Count('refusals', 'queue "full"\n', 2))
@@ -59,6 +60,7 @@
     assert found[('cactushead_refusals_total', 'queue "full"\n')] == 2
     assert found[('cactushead_turns_total', '')] == 1
     assert found[('cactushead_links_sent_frames_total',)] == 3
+    assert found[('cactushead_state_sent_frames',)] == 3
 
 
 def test_metrics_without_measurements():
--- a/packages/node/cactushead_node/observability/tests/test_timeline.py
+++ b/packages/node/cactushead_node/observability/tests/test_timeline.py
@@ -13,6 +13,7 @@
 )
 
 from cactushead_node.observability.timeline import (
+    LONGEST_DETAIL,
     PAGE_EVENTS,
     Timeline,
     event_line,
@@ -109,6 +110,12 @@
     assert 'e2 is 7200.0 s ahead' in caplog.text
 
 
+def test_long_detail_is_cut():
+    timeline = Timeline('e1')
+    timeline.record(Record(EventKind.TASK_ENDED, JOB, 0, detail='x' * 10_000))
+    assert timeline.select(ALL)[0].detail == 'x' * LONGEST_DETAIL
+
+
 def test_line_names_the_job():
     timeline = Timeline('e1', wall_clock=Clock())
     fill(timeline, 1)
--- a/packages/node/cactushead_node/observability/timeline.py
+++ b/packages/node/cactushead_node/observability/timeline.py
@@ -7,7 +7,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from operator import attrgetter
 
 from cactushead_core.clock import COUNTER_BITS, HybridClock, stamp_ms
@@ -24,6 +24,7 @@
 ENTRY_JOB_EVENTS = 20_000
 AGENT_JOB_EVENTS = 2000
 CELL_EVENTS = 1000
+LONGEST_DETAIL = 200
 WARNING_GAP_S = 60.0
 MS_PER_S = 1000
 
@@ -102,6 +103,8 @@
         wall_s = self._wall_clock()
         stamp = self._clock.local_event(int(wall_s * MS_PER_S))
         self._sequence += 1
+        if len(effect.detail) > LONGEST_DETAIL:
+            effect = replace(effect, detail=effect.detail[:LONGEST_DETAIL])
         ring = self._cell_events if effect.job is None else self._job_events
         ring.append(_Entry(self._sequence, stamp, wall_s, effect))
 
