Prove the replicated log by randomised runs of whole cells

A hypothesis state machine and seeded runs drive 3 and 5 replicas joined by an unreliable list of messages.

Ruled out: a shorter question, which only narrows the window. Now the same disks must answer two questions in a row, so that all were empty at one moment.

Checks in the harness that were wrong and replaced: a formation that only a lost disk knew may be followed by another one, so the check asks that no disk, queue or replica still holds the first; a vote is compared with the memberships that requests were sent under, not with the candidate's present one.

pytest packages/core/cactushead_core/replication: 73 passed, 1 skipped (soak).

--- a/packages/core/cactushead_core/replication/follower.py
+++ b/packages/core/cactushead_core/replication/follower.py
@@ -88,17 +88,22 @@
 
     def synced(self) -> None:
         """Notes that more of the log may be on disk."""
-        state = self._state
-        follows = state.role is Role.FOLLOWER and bool(state.leader)
-        if follows and self._synced_index() > self._reported_synced_index:
+        if (
+            self._follows()
+            and self._synced_index() > self._reported_synced_index
+        ):
             self._reply_due = True
 
     def turn_ended(self) -> None:
         """Sends one acknowledgement for all that the turn brought."""
-        if self._reply_due and self._state.role is Role.FOLLOWER:
+        if self._reply_due and self._follows():
             self._reply(rejected_index=0, hint_index=0)
         self._reply_due = False
 
+    def _follows(self) -> bool:
+        state = self._state
+        return state.role is Role.FOLLOWER and bool(state.leader)
+
     def _note_message(self, message: AppendEntries | InstallSnapshot) -> None:
         if message.term != self._verified_term:
             self._verified_term = message.term
--- a/packages/core/cactushead_core/replication/formation.py
+++ b/packages/core/cactushead_core/replication/formation.py
@@ -2,13 +2,17 @@
 
 Explanation:
     Only the listed voter with the smallest name forms a cell, and only
-    after each listed voter has answered one and the same question that its
-    disk is empty. Such an answer makes void all answers that the answering
-    voter still waits for, so it can't learn afterwards of a membership that
-    a lost disk of the forming voter once made. The membership is the log's
-    first entry, with the pairs of name and disk incarnation. The other
-    voters adopt it when their own pair is in it. A disk that is not in it
-    is new: it votes for nobody until a leader has admitted it.
+    after each listed voter has answered two questions, one after the other,
+    that the same disk is empty. So there was a moment, between the two, at
+    which all disks were empty; one question alone would not show that, as
+    disks may be filled and lost between its answers. Each answer makes void
+    the answers that the answering voter still waits for, so that it can't
+    learn afterwards of a membership that only lost disks knew.
+
+    The membership is the log's first entry, with the pairs of name and disk
+    incarnation. The other voters adopt it when their own pair is in it. A
+    disk that is not in it is new: it votes for nobody until a leader has
+    admitted it.
 """
 
 from ..effects import LogEntry
@@ -38,9 +42,9 @@
         self._state = state
         self._voters = tuple(sorted(state.settings.voters))
         self._answers: dict[str, str] = {}
+        self._earlier_answers: dict[str, str] = {}
         self._questions = 0
         self._query_id = ''
-        self._asked_s = float('-inf')
         self._start_question()
 
     def tick(self, heard_s: float) -> None:
@@ -98,6 +102,7 @@
         if report.query_id != self._query_id or not self._state.is_empty:
             return
         if report.members:
+            self._earlier_answers = {}
             self._answers = {}
             self._adopt(report)
         elif report.name in self._voters:
@@ -122,6 +127,10 @@
         answers = {**self._answers, settings.name: settings.incarnation}
         if self._state.membership.members or len(answers) < len(self._voters):
             return
+        if len(answers) > 1 and answers != self._earlier_answers:
+            self._earlier_answers = answers
+            self._start_question()
+            return
         members = tuple(
             Member(name, answers[name], votes=True) for name in self._voters
         )
@@ -157,6 +166,7 @@
         settings = self._state.settings
         self._questions += 1
         self._answers = {}
+        self._asked_s = float('-inf')
         self._query_id = (
             f'{settings.incarnation}/{self._state.now_s!r}/{self._questions}'
         )
--- a/packages/core/cactushead_core/replication/tests/cell.py
+++ b/packages/core/cactushead_core/replication/tests/cell.py
@@ -35,7 +35,7 @@
     is_membership,
     is_voter,
 )
-from cactushead_core.replication.messages import VoteReply
+from cactushead_core.replication.messages import VoteReply, VoteRequest
 
 DRIFT = 0.01
 RATES = (1 - DRIFT, 1 + DRIFT, 1.0, 1 + DRIFT, 1 - DRIFT)
@@ -130,6 +130,7 @@
         self.digests = {0: 0}
         self.members = ()
         self.early_losses = set()
+        self.requests = set()
         self.proposed = 0
         self.processes = {
             name: Process(name, rate, Disk(self._fresh(f'disk-{name}')))
@@ -211,6 +212,8 @@
 
     def _effect(self, process, effect):
         if isinstance(effect, Send):
+            if isinstance(effect.message, VoteRequest):
+                self._note_request(process, effect)
             if isinstance(effect.message, VoteReply) and effect.message.granted:
                 self._check_vote(process, effect)
             sender = Peer(process.name, PeerRole.ENTRY, process.incarnation)
@@ -222,17 +225,21 @@
         assert isinstance(effect, SaveVote | AppendLog | SaveSnapshot)
         process.disk.queue.append(effect)
 
+    def _note_request(self, process, effect):
+        members = process.replica._state.membership.members
+        request = effect.message
+        assert is_voter(members, effect.peer, request.incarnation)
+        key = (process.name, request.term, request.pre_vote)
+        self.requests.add((*key, request.incarnation))
+
     def _check_vote(self, process, effect):
         """A vote is on disk, and the candidate counts the disk as a voter."""
         if not effect.message.pre_vote:
             stored = process.disk.stored
             vote = (stored.term, stored.voted_for)
             assert vote == (effect.message.term, effect.peer)
-        candidate = self.processes[effect.peer].replica
-        if candidate is not None and candidate.term == effect.message.term:
-            members = candidate._state.membership.members
-            incarnation = process.disk.incarnation
-            assert is_voter(members, process.name, incarnation)
+        key = (effect.peer, effect.message.term, effect.message.pre_vote)
+        assert (*key, process.disk.incarnation) in self.requests
 
     def _check_entry(self, process, entry):
         """Log matching: term and index fix the command and the prefix."""
@@ -240,8 +247,22 @@
         previous = log.term_at(entry.index - 1) if entry.index > 1 else 0
         known = (entry.command, previous)
         key = (entry.term, entry.index)
+        if entry.index == 1 and self.entries.get(key) != known:
+            self._check_formation(process, entry)
+            self.entries[key] = known
         assert self.entries.setdefault(key, known) == known
 
+    def _check_formation(self, process, entry):
+        """A cell is formed again only when no other disk knows of it."""
+        assert not self.canonical
+        for other in self.processes.values():
+            held = other.disk.stored.entries
+            if other.replica is not None and other is not process:
+                held += tuple(other.replica._state.log.between(1, 1))
+            for effect in other.disk.queue:
+                held += getattr(effect, 'entries', ())
+            assert all(e == entry for e in held if e.index == 1)
+
     def _notice(self, process, notice):
         process.notices.append(notice)
         if isinstance(notice, LeaderKnown) and notice.leader == process.name:
@@ -310,8 +331,8 @@
         envelope = self.messages[position]
         if not duplicate:
             self.messages.pop(position)
-        receiver = self.processes[envelope.receiver]
-        if receiver.replica is None or receiver.frozen:
+        receiver = self.processes.get(envelope.receiver)
+        if receiver is None or receiver.replica is None or receiver.frozen:
             return
         if (envelope.sender.name, receiver.name) in self.cuts:
             return
--- /dev/null
+++ b/packages/core/cactushead_core/replication/tests/faults.py
@@ -0,0 +1,106 @@
+"""Random faults on a simulated cell, from any source of choices."""
+
+MESSAGE_LIMIT = 400
+
+
+class Faults:
+    """One step of the adversary; `choose(n)` returns a number below n."""
+
+    def __init__(self, cell, choose):
+        self.cell = cell
+        self.choose = choose
+        self.steps = (
+            *[self.run] * 6,
+            *[self.deliver] * 5,
+            *[self.tick] * 3,
+            *[self.propose] * 4,
+            *[self.sync] * 3,
+            self.drop,
+            self.duplicate,
+            self.cut,
+            self.isolate,
+            self.uncut,
+            self.freeze,
+            self.thaw,
+            self.crash,
+            self.restart,
+            self.lose_disk,
+            self.recover,
+            self.recover,
+        )
+
+    def step(self):
+        self.steps[self.choose(len(self.steps))]()
+        del self.cell.messages[:-MESSAGE_LIMIT]
+        self.cell.check_quorum()
+
+    def name(self):
+        return self.cell.names[self.choose(len(self.cell.names))]
+
+    def run(self):
+        self.cell.run(1 + self.choose(12))
+
+    def deliver(self):
+        for _ in range(1 + self.choose(8)):
+            if self.cell.messages:
+                position = self.choose(len(self.cell.messages))
+                end_turn = bool(self.choose(3))
+                self.cell.deliver(position, end_turn=end_turn)
+
+    def duplicate(self):
+        if self.cell.messages:
+            position = self.choose(len(self.cell.messages))
+            self.cell.deliver(position, duplicate=True)
+
+    def drop(self):
+        kept = self.choose(len(self.cell.messages) + 1)
+        del self.cell.messages[kept:]
+
+    def tick(self):
+        self.cell.tick((0.01, 0.05, 0.2, 0.59, 0.7)[self.choose(5)])
+
+    def propose(self):
+        for name in self.cell.names:
+            self.cell.propose(name, 1 + self.choose(5))
+
+    def sync(self):
+        name = self.name()
+        queued = len(self.cell.processes[name].disk.queue)
+        self.cell.sync(name, self.choose(queued + 1))
+
+    def cut(self):
+        self.cell.cuts.add((self.name(), self.name()))
+
+    def isolate(self):
+        name = self.name()
+        for other in self.cell.names:
+            self.cell.cuts |= {(name, other), (other, name)}
+
+    def uncut(self):
+        self.cell.cuts.clear()
+
+    def freeze(self):
+        self.cell.processes[self.name()].frozen = True
+
+    def thaw(self):
+        for process in self.cell.processes.values():
+            process.frozen = False
+
+    def crash(self):
+        name = self.name()
+        queued = len(self.cell.processes[name].disk.queue)
+        self.cell.crash(name, self.choose(queued + 1))
+
+    def restart(self):
+        self.cell.start(self.name())
+
+    def recover(self):
+        self.uncut()
+        self.thaw()
+        for name in self.cell.names:
+            self.cell.start(name)
+
+    def lose_disk(self):
+        name = self.name()
+        if self.cell.can_lose_disk(name):
+            self.cell.lose_disk(name)
--- /dev/null
+++ b/packages/core/cactushead_core/replication/tests/test_replica.py
@@ -0,0 +1,435 @@
+"""Tests of single rules of the replicated log."""
+
+import pytest
+from cactushead_core.effects import AppendLog, LogEntry, SaveVote, Send
+from cactushead_core.events import (
+    LogSynced,
+    MessageReceived,
+    Peer,
+    PeerConnected,
+    PeerRole,
+    Tick,
+    TurnEnded,
+    VoteSaved,
+)
+from cactushead_core.messages import decode_frame, encode_frame
+from cactushead_core.replication import (
+    EntriesCommitted,
+    LeaderLost,
+    LeaderReady,
+    MemoryCommitted,
+    Replica,
+    ReplicaSettings,
+    SnapshotInstalled,
+    StoredLog,
+)
+from cactushead_core.replication.invariants import ReplicationInvariantError
+from cactushead_core.replication.membership import encode_members
+from cactushead_core.replication.messages import (
+    AppendEntries,
+    AppendReply,
+    Member,
+    VoteReply,
+    VoteRequest,
+)
+from cactushead_core.replication.sender import PART_LIMIT_BYTES
+
+VOTERS = tuple(Member(name, f'{name}1', votes=True) for name in 'abc')
+FORMATION = LogEntry(1, 1, encode_members(VOTERS))
+STORED = StoredLog(term=1, entries=(FORMATION,))
+LATE_S = 10.0
+
+
+class Harness:
+    """One replica whose peers are played by the test."""
+
+    def __init__(self, name='a', stored=STORED, incarnation=None, now_s=0.0):
+        settings = ReplicaSettings(
+            name, incarnation or f'{name}1', ('a', 'b', 'c')
+        )
+        self.now_s = now_s
+        self.replica = Replica(settings, stored, now_s)
+        self.effects = []
+        self.notices = []
+
+    def feed(self, event_type, *fields):
+        output = self.replica.handle(event_type(self.now_s, *fields))
+        self.effects = output.effects
+        self.notices += output.notices
+        return output.effects
+
+    def receive(self, name, message, session='run1'):
+        peer = Peer(name, PeerRole.ENTRY, session)
+        effects = self.feed(MessageReceived, peer, message)
+        return effects + self.feed(TurnEnded)
+
+    def sent(self, effects, kind):
+        return [
+            effect.message
+            for effect in effects
+            if isinstance(effect, Send) and isinstance(effect.message, kind)
+        ]
+
+    def noticed(self, kind):
+        return [notice for notice in self.notices if isinstance(notice, kind)]
+
+    def lead(self):
+        """Wins the election of term 2 with the votes of a and b."""
+        self.now_s += LATE_S
+        self.feed(Tick)
+        self.receive('b', VoteReply(2, 'b', 'b1', True, True))
+        self.feed(VoteSaved, 2, 'a')
+        effects = self.receive('b', VoteReply(2, 'b', 'b1', True, False))
+        assert self.replica.leads
+        return self.sent(effects, AppendEntries)
+
+    def acknowledge(
+        self, name, match, synced, sequence=1, echo_s=None, **other
+    ):
+        echo_s = self.now_s if echo_s is None else echo_s
+        session = other.pop('session', 'run1')
+        incarnation = other.pop('incarnation', f'{name}1')
+        rejected = other.pop('rejected', 0)
+        hint = other.pop('hint', 0)
+        reply = AppendReply(
+            2,
+            name,
+            incarnation,
+            match,
+            synced,
+            rejected,
+            hint,
+            sequence,
+            echo_s,
+        )
+        return self.receive(name, reply, session)
+
+
+def vote_request(
+    term=2, last=(1, 1), pre_vote=False, candidate='b', incarnation='a1'
+):
+    return VoteRequest(term, candidate, incarnation, *last, pre_vote)
+
+
+def append(
+    term, previous, commands=(), committed=0, entry_term=None, sequence=1
+):
+    """Entries of leader b behind `previous`, a (term, index) pair."""
+    entry_term = term if entry_term is None else entry_term
+    return AppendEntries(
+        term,
+        'b',
+        previous[1],
+        previous[0],
+        entry_term,
+        commands,
+        committed,
+        sequence,
+        5.0,
+    )
+
+
+def test_messages_have_a_wire_form():
+    messages = [vote_request(), append(2, (1, 1), (b'x', b'y'))]
+    assert decode_frame(encode_frame(messages)) == messages
+
+
+def test_vote_leaves_after_it_is_saved():
+    voter = Harness(stored=STORED)
+    voter.now_s = LATE_S
+    effects = voter.receive('b', vote_request())
+    assert SaveVote(2, 'b') in effects
+    assert not voter.sent(effects, VoteReply)
+    effects = voter.feed(VoteSaved, 2, 'b')
+    assert voter.sent(effects, VoteReply) == [
+        VoteReply(2, 'a', 'a1', True, False)
+    ]
+
+
+def test_candidate_asks_after_its_vote_is_saved():
+    candidate = Harness()
+    candidate.now_s = LATE_S
+    candidate.feed(Tick)
+    effects = candidate.receive('b', VoteReply(2, 'b', 'b1', True, True))
+    assert effects == [SaveVote(2, 'a')]
+    effects = candidate.feed(VoteSaved, 2, 'a')
+    assert len(candidate.sent(effects, VoteRequest)) == 2
+
+
+def test_one_vote_a_term():
+    voter = Harness(stored=StoredLog(2, 'c', entries=(FORMATION,)))
+    voter.now_s = LATE_S
+    (reply,) = voter.sent(voter.receive('b', vote_request()), VoteReply)
+    assert not reply.granted
+
+
+def test_no_vote_for_a_shorter_log():
+    entries = (FORMATION, LogEntry(1, 2, b''))
+    voter = Harness(stored=StoredLog(term=1, entries=entries))
+    voter.now_s = LATE_S
+    (reply,) = voter.sent(voter.receive('b', vote_request()), VoteReply)
+    assert not reply.granted
+
+
+@pytest.mark.parametrize('pre_vote', [True, False])
+def test_no_vote_while_a_leader_is_heard(pre_vote):
+    voter = Harness()
+    voter.now_s = LATE_S
+    voter.receive('b', append(2, (1, 1)))
+    voter.now_s += 0.59
+    request = vote_request(3, (2, 9), pre_vote, candidate='c')
+    replies = voter.sent(voter.receive('c', request), VoteReply)
+    assert not any(reply.granted for reply in replies)
+    assert voter.replica.term == 2
+
+
+def test_no_vote_right_after_a_restart():
+    voter = Harness(now_s=100.0)
+    voter.now_s = 100.59
+    assert not voter.receive('b', vote_request())
+    assert voter.replica.term == 1
+
+
+def test_new_disk_votes_for_nobody():
+    voter = Harness(stored=StoredLog(), incarnation='a2')
+    voter.now_s = LATE_S
+    effects = voter.receive('b', vote_request())
+    assert not any(reply.granted for reply in voter.sent(effects, VoteReply))
+
+
+def test_learner_votes_once_the_candidate_counts_it():
+    members = (Member('a', 'a2', votes=False), *VOTERS[1:])
+    entries = (FORMATION, LogEntry(2, 2, encode_members(members)))
+    learner = Harness(stored=StoredLog(2, entries=entries), incarnation='a2')
+    learner.now_s = LATE_S
+    learner.feed(Tick)
+    assert learner.replica.term == 2
+    learner.receive('b', vote_request(3, (2, 2), incarnation='a1'))
+    assert learner.feed(VoteSaved, 3, '') == []
+    effects = learner.receive('b', vote_request(3, (2, 2), incarnation='a2'))
+    assert SaveVote(3, 'b') in effects
+
+
+def test_pre_vote_leaves_the_term():
+    replica = Harness()
+    replica.now_s = LATE_S
+    replica.feed(Tick)
+    assert replica.replica.term == 1
+    replica.receive('b', vote_request(7, (9, 9), pre_vote=True))
+    assert replica.replica.term == 1
+
+
+def test_vote_of_another_disk_does_not_count():
+    candidate = Harness()
+    candidate.now_s = LATE_S
+    candidate.feed(Tick)
+    candidate.receive('b', VoteReply(2, 'b', 'b2', True, True))
+    assert candidate.replica.term == 1
+
+
+def test_turn_leaves_as_one_message_and_one_append():
+    leader = Harness()
+    leader.lead()
+    leader.acknowledge('b', 2, 2)
+    leader.replica.propose([b'x'])
+    leader.replica.propose([b'y', b'z'])
+    effects = leader.feed(TurnEnded)
+    appends = [e for e in effects if isinstance(e, AppendLog)]
+    assert [len(e.entries) for e in appends] == [3]
+    (message,) = leader.sent(effects, AppendEntries)
+    assert message.commands == (b'x', b'y', b'z')
+
+
+def test_appends_follow_without_waiting():
+    leader = Harness()
+    leader.lead()
+    leader.acknowledge('b', 2, 2)
+    for command in (b'x', b'y'):
+        leader.replica.propose([command])
+        (message,) = leader.sent(leader.feed(TurnEnded), AppendEntries)
+        assert message.commands == (command,)
+
+
+def test_messages_have_a_bounded_size():
+    leader = Harness()
+    leader.lead()
+    leader.acknowledge('b', 2, 2)
+    leader.replica.propose([bytes(PART_LIMIT_BYTES // 4)] * 9)
+    messages = leader.sent(leader.feed(TurnEnded), AppendEntries)
+    sizes = [sum(map(len, message.commands)) for message in messages]
+    assert sum(sizes) == PART_LIMIT_BYTES // 4 * 9
+    assert max(sizes) <= PART_LIMIT_BYTES
+
+
+def test_lost_entries_are_sent_again():
+    leader = Harness()
+    leader.lead()
+    leader.acknowledge('b', 2, 2)
+    leader.replica.propose([b'x'])
+    leader.feed(TurnEnded)
+    leader.now_s += 0.5
+    probes = leader.sent(leader.feed(Tick), AppendEntries)
+    assert probes[0].previous_index == 2
+    effects = leader.acknowledge('b', 2, 2, sequence=9)
+    (message,) = leader.sent(effects, AppendEntries)
+    assert message.commands == (b'x',)
+
+
+def test_new_link_is_probed_at_once():
+    leader = Harness()
+    leader.lead()
+    leader.acknowledge('b', 2, 2)
+    leader.replica.propose([b'x'])
+    leader.feed(TurnEnded)
+    leader.feed(PeerConnected, Peer('b', PeerRole.ENTRY, 'run1'))
+    (message,) = leader.sent(leader.feed(TurnEnded), AppendEntries)
+    assert message.commands == (b'x',)
+
+
+def test_memory_commit_goes_before_the_synced_commit():
+    leader = Harness()
+    leader.lead()
+    leader.acknowledge('b', 2, 0)
+    assert leader.noticed(MemoryCommitted) == [MemoryCommitted(2)]
+    assert not leader.noticed(EntriesCommitted)
+    leader.feed(LogSynced, 2, 2)
+    assert not leader.noticed(EntriesCommitted)
+    leader.acknowledge('b', 2, 2)
+    (committed,) = leader.noticed(EntriesCommitted)
+    assert [entry.index for entry in committed.entries] == [1, 2]
+    assert leader.notices[-1] == LeaderReady(2)
+
+
+def test_entries_of_old_terms_commit_with_an_own_one():
+    entries = (FORMATION, LogEntry(1, 2, b'old'))
+    leader = Harness(stored=StoredLog(term=1, entries=entries))
+    leader.lead()
+    leader.acknowledge('b', 2, 2)
+    assert not leader.noticed(EntriesCommitted)
+    assert not leader.noticed(MemoryCommitted)
+    leader.feed(LogSynced, 2, 3)
+    leader.acknowledge('b', 3, 3)
+    (committed,) = leader.noticed(EntriesCommitted)
+    assert committed.entries[-1].index == 3
+
+
+def test_restarted_follower_counts_no_more():
+    leader = Harness()
+    leader.lead()
+    leader.acknowledge('b', 2, 2, sequence=1)
+    leader.replica.propose([b'x'])
+    leader.feed(TurnEnded)
+    leader.acknowledge('b', 3, 2, sequence=2)
+    leader.acknowledge(
+        'b', 2, 2, sequence=2, session='run2', rejected=3, hint=2
+    )
+    assert leader.replica._parts.leading()._peers['b'].match_index == 2
+    leader.replica.propose([b'y'])
+    leader.feed(TurnEnded)
+    leader.acknowledge('b', 3, 2, sequence=2, session='run1')
+    assert leader.replica._parts.leading()._peers['b'].match_index == 2
+
+
+def test_ack_of_another_disk_does_not_count():
+    leader = Harness()
+    leader.lead()
+    leader.feed(LogSynced, 2, 2)
+    leader.acknowledge('b', 2, 2, incarnation='b2')
+    assert not leader.noticed(MemoryCommitted)
+    assert not leader.noticed(EntriesCommitted)
+    assert not leader.replica.has_quorum(leader.now_s)
+
+
+def test_learner_counts_in_no_majority():
+    members = (*VOTERS[:2], Member('c', 'c1', votes=False))
+    entries = (FORMATION, LogEntry(1, 2, encode_members(members)))
+    leader = Harness(stored=StoredLog(term=1, entries=entries))
+    leader.lead()
+    leader.feed(LogSynced, 2, 3)
+    leader.acknowledge('c', 3, 3)
+    assert not leader.noticed(MemoryCommitted)
+    assert not leader.noticed(EntriesCommitted)
+    assert not leader.replica.has_quorum(leader.now_s)
+    leader.acknowledge('b', 3, 3)
+    assert leader.noticed(LeaderReady)
+
+
+def test_quorum_counts_from_the_time_of_sending():
+    leader = Harness()
+    leader.lead()
+    sent_s = leader.now_s
+    leader.now_s += 0.55
+    leader.acknowledge('b', 2, 2, echo_s=sent_s)
+    assert leader.replica.has_quorum(sent_s + 0.58)
+    assert not leader.replica.has_quorum(sent_s + 0.59)
+
+
+def test_leader_without_quorum_steps_down():
+    leader = Harness()
+    leader.lead()
+    leader.now_s += 0.61
+    leader.feed(Tick)
+    assert leader.noticed(LeaderLost) == [LeaderLost(2)]
+    assert not leader.replica.leads
+
+
+def test_only_a_leader_proposes():
+    with pytest.raises(ReplicationInvariantError):
+        Harness().replica.propose([b'x'])
+
+
+def test_follower_acknowledges_memory_and_then_the_sync():
+    follower = Harness()
+    effects = follower.receive('b', append(2, (1, 1), (b'', b'x')))
+    (reply,) = follower.sent(effects, AppendReply)
+    assert (reply.match_index, reply.synced_index) == (3, 1)
+    follower.feed(LogSynced, 2, 3)
+    (reply,) = follower.sent(follower.feed(TurnEnded), AppendReply)
+    assert (reply.match_index, reply.synced_index) == (3, 3)
+
+
+def test_follower_applies_only_what_the_leader_has():
+    entries = (FORMATION, LogEntry(1, 2, b'unknown to b'))
+    follower = Harness(stored=StoredLog(term=1, entries=entries))
+    follower.receive('b', append(3, (1, 1), committed=2))
+    (committed,) = follower.noticed(EntriesCommitted)
+    assert [entry.index for entry in committed.entries] == [1]
+
+
+def test_conflicting_tail_is_replaced():
+    entries = (FORMATION, LogEntry(1, 2, b'old'), LogEntry(1, 3, b'old'))
+    follower = Harness(stored=StoredLog(term=1, entries=entries))
+    effects = follower.receive('b', append(2, (1, 1), (b'new',)))
+    assert AppendLog((LogEntry(2, 2, b'new'),)) in effects
+    (reply,) = follower.sent(effects, AppendReply)
+    assert (reply.match_index, reply.synced_index) == (2, 1)
+
+
+def test_committed_entry_is_never_cut():
+    entries = (FORMATION, LogEntry(1, 2, b'old'))
+    follower = Harness(stored=StoredLog(term=1, entries=entries))
+    follower.receive('b', append(2, (1, 2), committed=2))
+    with pytest.raises(ReplicationInvariantError):
+        follower.receive('b', append(3, (2, 2), (b'new',)))
+
+
+def test_two_leaders_of_a_term_are_noticed():
+    leader = Harness()
+    leader.lead()
+    with pytest.raises(ReplicationInvariantError):
+        leader.receive('b', append(2, (1, 1)))
+
+
+def test_stored_snapshot_comes_first():
+    stored = StoredLog(3, '', 2, 7, encode_members(VOTERS), b'state')
+    replica = Harness(stored=stored)
+    replica.feed(TurnEnded)
+    assert replica.notices == [SnapshotInstalled(7, b'state')]
+    assert replica.replica.last_index == 7
+
+
+def test_log_with_a_gap_is_refused():
+    with pytest.raises(ReplicationInvariantError):
+        Harness(
+            stored=StoredLog(term=1, entries=(FORMATION, LogEntry(1, 3, b'')))
+        )
