--- a/packages/core/cactushead_core/replication/leader.py
+++ b/packages/core/cactushead_core/replication/leader.py
@@ -47,6 +47,7 @@
         self._memory_index = 0
         self._ready = False
         self._peers: dict[str, Progress] = {}
+        self._voting_peers: list[Progress] = []
         self._applicants: dict[str, str] = {}
         self._refresh_peers()
         self.append([b''])
@@ -85,7 +86,8 @@
         self._state.write_log()
         for progress in self._peers.values():
             self._sender.turn_ended(progress)
-        self.advance()
+        if not self._voting_peers:
+            self.advance()
 
     def tick(self) -> None:
         """Sends heartbeats; steps down when no majority answers."""
@@ -158,7 +160,7 @@
     def advance(self) -> None:
         """Commits what a majority holds."""
         state = self._state
-        peers = self._voting_peers()
+        peers = self._voting_peers
         memory = [progress.match_index for progress in peers]
         memory_index = majority_value([state.log.last_index, *memory])
         if memory_index > max(self._memory_index, self._first_index - 1):
@@ -191,25 +193,23 @@
         progress.confirm(reply.echo_s, self._state.now_s)
         return progress
 
-    def _voting_peers(self) -> list[Progress]:
-        own_name = self._state.settings.name
-        return [
-            self._peers[voter.name]
-            for voter in self._state.membership.voters()
-            if voter.name != own_name
-        ]
-
     def _majority_confirmed_s(self, now_s: float) -> float:
-        peers = self._voting_peers()
-        confirmed = [progress.confirmed_s for progress in peers]
+        confirmed = [peer.confirmed_s for peer in self._voting_peers]
         return majority_value([now_s, *confirmed])
 
     def _refresh_peers(self) -> None:
-        peers: dict[str, Progress] = {}
-        for member in self._state.membership.members:
-            if member.name != self._state.settings.name:
-                peers[member.name] = self._progress_of(member)
-        self._peers = peers
+        own_name = self._state.settings.name
+        others = [
+            member
+            for member in self._state.membership.members
+            if member.name != own_name
+        ]
+        self._peers = {
+            member.name: self._progress_of(member) for member in others
+        }
+        self._voting_peers = [
+            self._peers[member.name] for member in others if member.votes
+        ]
 
     def _progress_of(self, member: Member) -> Progress:
         known = self._peers.get(member.name)
--- a/packages/core/cactushead_core/replication/tests/cell.py
+++ b/packages/core/cactushead_core/replication/tests/cell.py
@@ -369,14 +369,18 @@
 
     def settle(self):
         for _ in range(4):
-            pending, self.messages = self.messages, []
-            for envelope in pending:
-                self.messages.insert(0, envelope)
-                self.deliver(0)
+            self.deliver_all()
             for process in self.running():
                 if process.disk.queue:
                     self.sync(process.name)
 
+    def deliver_all(self):
+        """Delivers the present messages in order; answers stay."""
+        pending, self.messages = self.messages, []
+        for envelope in pending:
+            self.messages.insert(0, envelope)
+            self.deliver(0)
+
     def leader(self):
         leading = [
             process
--- a/packages/core/cactushead_core/replication/tests/faults.py
+++ b/packages/core/cactushead_core/replication/tests/faults.py
@@ -11,7 +11,8 @@
         self.choose = choose
         self.steps = (
             *[self.run] * 6,
-            *[self.deliver] * 5,
+            *[self.deliver] * 4,
+            *[self.deliver_all] * 4,
             *[self.tick] * 3,
             *[self.propose] * 4,
             *[self.sync] * 3,
@@ -19,6 +20,8 @@
             self.duplicate,
             self.cut,
             self.isolate,
+            self.isolate_leader,
+            self.crash_leader,
             self.uncut,
             self.freeze,
             self.thaw,
@@ -37,6 +40,10 @@
     def name(self):
         return self.cell.names[self.choose(len(self.cell.names))]
 
+    def leader_name(self):
+        leader = self.cell.leader()
+        return leader.name if leader else self.name()
+
     def run(self):
         self.cell.run(1 + self.choose(12))
 
@@ -47,6 +54,9 @@
                 end_turn = bool(self.choose(3))
                 self.cell.deliver(position, end_turn=end_turn)
 
+    def deliver_all(self):
+        self.cell.deliver_all()
+
     def duplicate(self):
         if self.cell.messages:
             position = self.choose(len(self.cell.messages))
@@ -76,6 +86,14 @@
         for other in self.cell.names:
             self.cell.cuts |= {(name, other), (other, name)}
 
+    def isolate_leader(self):
+        leader = self.leader_name()
+        for other in self.cell.names:
+            self.cell.cuts |= {(leader, other), (other, leader)}
+
+    def crash_leader(self):
+        self.cell.crash(self.leader_name())
+
     def uncut(self):
         self.cell.cuts.clear()
 
