Share slots fairly between teams and callers, least work first

Teams, then callers, are ordered by start-time fair queueing over estimated run time, compared by rounds of 1 s; within a round, and within a caller, the job with least estimated remaining work is next; a job is overtaken only by jobs that come within 10 s. Tasks that fit nowhere are parked by job and size, and retried in rotation; after 2 s one upstream per pool is reserved for the oldest. A caller that holds over half of a pool leaves its last 2.5 % of slots free. Placement takes the upstream with most room, near the leader, over racks, from an index. Run times are estimated per kind by a clipped mean.

--- a/packages/core/cactushead_core/scheduling/__init__.py
+++ b/packages/core/cactushead_core/scheduling/__init__.py
@@ -1,18 +1,26 @@
 """Decisions on which task starts where and when."""
 
+from .fair import FairOrder
 from .model import PlacedTask, QueuedTask, UpstreamState
 from .order import ArrivalOrder, TaskOrder
-from .placement import FirstFitPlacement, PlacementPolicy, RandomPlacement
+from .placement import (
+    FirstFitPlacement,
+    PlacementPolicy,
+    RandomPlacement,
+    SpreadPlacement,
+)
 from .scheduler import Scheduler
 
 __all__ = [
     'ArrivalOrder',
+    'FairOrder',
     'FirstFitPlacement',
     'PlacedTask',
     'PlacementPolicy',
     'QueuedTask',
     'RandomPlacement',
     'Scheduler',
+    'SpreadPlacement',
     'TaskOrder',
     'UpstreamState',
 ]
--- a/packages/core/cactushead_core/scheduling/model.py
+++ b/packages/core/cactushead_core/scheduling/model.py
@@ -1,5 +1,6 @@
 """Value objects of the scheduler."""
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -22,9 +23,9 @@
         declared: Cores or megabytes as the caller declared them.
 
     Returns:
-        The size; 0 for a negative one or NaN.
+        The size; 0 for a negative one, infinity or NaN.
     """
-    return declared if declared > 0 else 0.0
+    return declared if 0 < declared < math.inf else 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/cactushead_core/scheduling/order.py
+++ b/packages/core/cactushead_core/scheduling/order.py
@@ -46,14 +46,15 @@
         self._waiting[task_id] = task
         self._add(task, estimate_s)
 
-    def take(self, task: QueuedTask) -> None:
+    def take(self, task: QueuedTask, estimate_s: float) -> None:
         """Removes a waiting task that is placed and counts it as running.
 
         Args:
             task: The task.
+            estimate_s: How long it will probably run, as known by now.
         """
         self._waiting.pop(task.task_id)
-        self._take(task)
+        self._take(task, estimate_s)
 
     def remove_job(self, job: JobId) -> list[QueuedTask]:
         """Removes the waiting tasks of a job.
@@ -86,12 +87,11 @@
         """
 
     @abstractmethod
-    def begin_turn(self, services: Iterable[str], now_s: float) -> None:
+    def begin_turn(self, services: Iterable[str]) -> None:
         """Begins to offer the tasks of the services that may start some.
 
         Args:
             services: Names of the services.
-            now_s: The leader's monotonic clock.
         """
 
     @abstractmethod
@@ -102,6 +102,18 @@
     def skip(self) -> None:
         """Notes that the offered task fits no upstream now."""
 
+    def held_by_caller(self, task: QueuedTask) -> int:
+        """Returns the slots that the caller of a task holds.
+
+        Args:
+            task: The offered task.
+        """
+        return 0
+
+    def defer_caller(self) -> None:
+        """Offers no more tasks of the offered task's caller in this turn."""
+        self.skip()
+
     @abstractmethod
     def close(self, service: str) -> None:
         """Offers no more tasks of a service in this turn.
@@ -115,7 +127,7 @@
         """Adds a waiting task."""
 
     @abstractmethod
-    def _take(self, task: QueuedTask) -> None:
+    def _take(self, task: QueuedTask, estimate_s: float) -> None:
         """Removes a waiting task, which need not be the offered one."""
 
     @abstractmethod
@@ -138,7 +150,7 @@
     def release(self, task: QueuedTask) -> None:
         """Ignores running tasks."""
 
-    def begin_turn(self, services: Iterable[str], now_s: float) -> None:
+    def begin_turn(self, services: Iterable[str]) -> None:
         """Begins to offer the tasks of some services."""
         self._open = {name for name in services if self._queues.get(name)}
 
@@ -161,7 +173,7 @@
         queue = self._queues.setdefault(task.job.service, {})
         queue[task.task_id] = task
 
-    def _take(self, task: QueuedTask) -> None:
+    def _take(self, task: QueuedTask, estimate_s: float) -> None:
         self._drop(task)
 
     def _remove_job(self, job: JobId) -> list[QueuedTask]:
--- a/packages/core/cactushead_core/scheduling/placement.py
+++ b/packages/core/cactushead_core/scheduling/placement.py
@@ -1,11 +1,17 @@
 """Choice of the upstream for a task."""
 
+import math
 import random
 from abc import ABC, abstractmethod
+from collections.abc import Mapping
 
 from .model import QueuedTask, RackCounts, UpstreamState
 from .pool import UpstreamPool
 
+# Slots that another data centre must have more to be preferred.
+LOCAL_BONUS_SLOTS = 4
+COMPARED_UPSTREAMS = 8
+
 
 class PlacementPolicy(ABC):
     """Chooses among upstreams that match and have room."""
@@ -86,3 +92,67 @@
             if state.fits(task)
         ]
         return self._random.choice(fitting) if fitting else None
+
+
+class SpreadPlacement(PlacementPolicy):
+    """Takes the upstream with the most room, near the leader, over racks.
+
+    Explanation:
+        With exact knowledge of the slots, every upstream with a free slot
+        has no expected wait, and one where a task would queue at the agent
+        has one, so free slots always go first. Among upstreams with free
+        slots an upstream in the leader's data centre counts as if it had
+        some more, which saves a round trip between data centres but doesn't
+        pack one data centre to the last slot. Among equals a rack that the
+        job doesn't use yet goes first.
+    """
+
+    def __init__(self, data_centre: str = '') -> None:
+        """Notes where the leader is.
+
+        Args:
+            data_centre: Data centre of the leader, empty when unknown.
+        """
+        self._data_centre = data_centre
+
+    def prefer(self, state: UpstreamState) -> int:
+        """Returns the room, with a bonus for the leader's data centre."""
+        room = state.room
+        if room <= state.queue_depth or not self._data_centre:
+            return room
+        if state.spec.data_centre == self._data_centre:
+            return room + LOCAL_BONUS_SLOTS
+        return room
+
+    def _choose(
+        self,
+        task: QueuedTask,
+        pool: UpstreamPool,
+        racks: RackCounts,
+    ) -> UpstreamState | None:
+        for bucket in pool.buckets():
+            best = self._choose_rack(task, bucket, racks)
+            if best is not None:
+                return best
+        return None
+
+    def _choose_rack(
+        self,
+        task: QueuedTask,
+        bucket: Mapping[str, UpstreamState],
+        racks: RackCounts,
+    ) -> UpstreamState | None:
+        best: UpstreamState | None = None
+        fewest = math.inf
+        looked = 0
+        for state in bucket.values():
+            if not state.fits(task):
+                continue
+            on_rack = racks.get(state.spec.rack, 0)
+            if on_rack < fewest:
+                best = state
+                fewest = on_rack
+            looked += 1
+            if not on_rack or looked == COMPARED_UPSTREAMS:
+                break
+        return best
--- a/packages/core/cactushead_core/scheduling/pool.py
+++ b/packages/core/cactushead_core/scheduling/pool.py
@@ -49,6 +49,9 @@
         self._buckets: list[dict[str, UpstreamState]] = [{}]
         self._places: dict[str, int] = {}
         self._highest = 0
+        self._rooms: dict[str, int] = {}
+        self.room = 0
+        self.slots = 0
         self._sizes: dict[WorkerSize, int] = {}
         self._departed: dict[WorkerSize, float] = {}
 
@@ -66,7 +69,9 @@
         name = state.spec.name
         self.members[name] = state
         self._places[name] = 0
+        self._rooms[name] = 0
         self._buckets[0][name] = state
+        self.slots += state.spec.slots
         self._sizes[state.size] = self._sizes.get(state.size, 0) + 1
         self.update(state)
 
@@ -79,6 +84,8 @@
         """
         name = state.spec.name
         self.members.pop(name)
+        self.slots -= state.spec.slots
+        self.room -= self._rooms.pop(name)
         self._buckets[self._places.pop(name)].pop(name)
         self._lower_highest()
         self._sizes[state.size] -= 1
@@ -96,7 +103,10 @@
             state: A member.
         """
         name = state.spec.name
-        place = self._prefer(state) if state.room > 0 else 0
+        room = state.room
+        self.room += room - self._rooms[name]
+        self._rooms[name] = room
+        place = self._prefer(state) if room > 0 else 0
         if place == self._places[name]:
             return
         self._buckets[self._places[name]].pop(name)
--- a/packages/core/cactushead_core/scheduling/registry.py
+++ b/packages/core/cactushead_core/scheduling/registry.py
@@ -4,7 +4,7 @@
 
 from ..agents.model import UpstreamSpec
 from ..documents.model import Selector
-from .model import UpstreamState
+from .model import BOOKING_TOLERANCE, UpstreamState
 from .pool import UpstreamPool, selects
 
 
@@ -114,9 +114,23 @@
         Args:
             state: The upstream.
         """
-        for pool in self._memberships[state.spec.name]:
+        for pool in self._memberships.get(state.spec.name, ()):
             pool.update(state)
 
+    def check_invariants(self) -> None:
+        """Checks pools and bookings; costs a scan of all.
+
+        Raises:
+            AssertionError: A count doesn't match what it counts.
+        """
+        for name, state in self.states.items():
+            assert state.cores_booked >= -BOOKING_TOLERANCE, f'{name} cores'
+            for pool in self._memberships[name]:
+                assert pool.members[name] is state, f'{name} is another'
+        for pool in self._pools.values():
+            room = sum(member.room for member in pool.members.values())
+            assert pool.room == room, f'{pool.selector} has room {room}'
+
     def _join(self, state: UpstreamState) -> None:
         pools = [
             pool
--- a/packages/core/cactushead_core/scheduling/scheduler.py
+++ b/packages/core/cactushead_core/scheduling/scheduler.py
@@ -2,19 +2,21 @@
 
 from collections.abc import Callable
 
-from ..agents.model import TaskOutcome, UpstreamSpec
+from ..agents.model import OutcomeStatus, TaskOutcome, UpstreamSpec
 from ..documents.model import ServiceDocument
 from ..jobs.model import JobId, JobRequest, Refusal, RefusalReason
 from . import admission
-from .model import PlacedTask, QueuedTask, UpstreamState
+from .bookings import Bookings
+from .model import PlacedTask, QueuedTask
 from .order import TaskOrder
 from .placement import PlacementPolicy
 from .registry import UpstreamRegistry
+from .reservation import Reservations
 from .service import ServiceLoad
+from .turn import PlacementTurn
 
 # A new leader has heard of every living agent by then.
 SETTLE_S = 1.0
-DEFAULT_RUN_S = 0.3
 
 
 class Scheduler:
@@ -38,20 +40,35 @@
         self,
         make_order: Callable[[], TaskOrder],
         placement: PlacementPolicy,
+        *,
+        queue_depth: int = 0,
     ) -> None:
         """Starts without documents, tasks and upstreams.
 
         Args:
             make_order: Makes the queue.
             placement: Chooses upstreams.
+            queue_depth: Tasks that may wait at an agent beyond its slots,
+                to hide the round trip between two starts.
         """
-        self._order = make_order()
         self._placement = placement
-        self._loads: dict[str, ServiceLoad] = {}
-        self._registry = UpstreamRegistry(placement.prefer)
+        self._registry = UpstreamRegistry(placement.prefer, queue_depth)
+        self._bookings = Bookings(make_order(), self._registry)
+        self._reservations = Reservations(self._registry.update)
         self._first_s: float | None = None
         self._now_s = 0.0
 
+    @property
+    def waiting_tasks(self) -> int:
+        """Tasks that wait, of all services."""
+        return len(self._bookings.order)
+
+    @property
+    def running_tasks(self) -> int:
+        """Tasks that occupy slots, of all services."""
+        states = self._registry.states.values()
+        return sum(len(state.tasks) for state in states)
+
     def set_document(self, document: ServiceDocument, now_s: float) -> None:
         """Puts a document in force.
 
@@ -61,14 +78,14 @@
         """
         self._observe_time(now_s)
         pool = self._registry.pool(document.upstreams)
-        load = self._loads.get(document.service)
+        load = self._bookings.loads.get(document.service)
         if load is None:
             load = ServiceLoad(document, pool)
-            load.running = self._count_running(document.service)
-            self._loads[document.service] = load
+            load.running = self._bookings.count_running(document.service)
+            self._bookings.loads[document.service] = load
         load.apply_document(document, pool, now_s)
         self._registry.keep_pools(
-            {load.document.upstreams for load in self._loads.values()},
+            {load.document.upstreams for load in self._bookings.loads.values()},
         )
 
     def set_upstream(
@@ -111,7 +128,7 @@
         if state is None:
             return
         for task_id in tuple(state.tasks):
-            self._release(state, task_id)
+            self._bookings.release(state, task_id)
         self._registry.remove(state, self._now_s)
 
     def find_refusal(
@@ -126,7 +143,7 @@
             now_s: The leader's monotonic clock.
         """
         self._observe_time(now_s)
-        load = self._loads.get(request.job.service)
+        load = self._bookings.loads.get(request.job.service)
         if load is None:
             return Refusal(RefusalReason.UNKNOWN_SERVICE)
         settled = now_s - self._first_s >= SETTLE_S
@@ -143,9 +160,7 @@
         Args:
             task: The task.
         """
-        load = self._loads[task.job.service]
-        self._order.add(task, DEFAULT_RUN_S)
-        load.note_waiting(task)
+        self._bookings.wait(task)
 
     def cancel_job(self, job: JobId) -> list[QueuedTask]:
         """Removes the waiting tasks of a job.
@@ -156,9 +171,9 @@
         Returns:
             The tasks that waited.
         """
-        removed = self._order.remove_job(job)
+        removed = self._bookings.order.remove_job(job)
         for task in removed:
-            self._loads[job.service].note_unqueued(task)
+            self._bookings.loads[job.service].note_unqueued(task)
         return removed
 
     def occupy(self, task: QueuedTask, upstream: str) -> None:
@@ -175,10 +190,7 @@
                 available=False,
                 now_s=self._now_s,
             )
-        if task.task_id in state.tasks:
-            return
-        self._order.occupy(task)
-        self._book(task, state)
+        self._bookings.occupy(task, state)
 
     def place(self, now_s: float) -> list[PlacedTask]:
         """Books slots for waiting tasks, as many as can start now.
@@ -190,22 +202,13 @@
             The placements, in the order of the decisions.
         """
         self._observe_time(now_s)
-        order = self._order
-        order.begin_turn(self._ready_services(now_s), now_s)
-        racks: dict[JobId, dict[str, int]] = {}
-        placed: list[PlacedTask] = []
-        task = order.peek()
-        while task is not None:
-            load = self._loads[task.job.service]
-            if load.may_start:
-                choice = self._place_one(task, load, racks)
-                if choice is not None:
-                    placed.append(PlacedTask(task, choice.spec.name))
-            else:
-                order.close(task.job.service)
-            task = order.peek()
-        self._note_drained(placed, now_s)
-        return placed
+        turn = PlacementTurn(
+            self._bookings,
+            self._placement,
+            self._reservations,
+            now_s,
+        )
+        return turn.run()
 
     def task_ended(
         self,
@@ -222,8 +225,11 @@
         """
         self._observe_time(now_s)
         state = self._registry.states.get(upstream)
-        if state is not None:
-            self._release(state, outcome.task_id)
+        if state is None:
+            return
+        task = self._bookings.release(state, outcome.task_id)
+        if task is not None:
+            self._learn(task, outcome)
 
     def task_returned(self, upstream: str, task_id: str) -> None:
         """Frees the slot of a task that never started.
@@ -235,77 +241,26 @@
         state = self._registry.states.get(upstream)
         if state is None:
             return
-        task = self._release(state, task_id)
-        if task is not None and task.job.service in self._loads:
-            self._loads[task.job.service].tokens.add(1)
+        task = self._bookings.release(state, task_id)
+        if task is not None and task.job.service in self._bookings.loads:
+            self._bookings.loads[task.job.service].tokens.add(1)
+
+    def check_invariants(self) -> None:
+        """Checks the counts against each other; scans all.
+
+        Raises:
+            AssertionError: A count doesn't match what it counts.
+        """
+        self._bookings.check_invariants()
 
     def _observe_time(self, now_s: float) -> None:
         self._now_s = now_s
         if self._first_s is None:
             self._first_s = now_s
 
-    def _count_running(self, service: str) -> int:
-        return sum(
-            task.job.service == service
-            for state in self._registry.states.values()
-            for task in state.tasks.values()
-        )
-
-    def _ready_services(self, now_s: float) -> list[str]:
-        ready: list[str] = []
-        for service, load in self._loads.items():
-            if load.waiting:
-                load.tokens.refill(now_s)
-                if load.may_start:
-                    ready.append(service)
-        return ready
-
-    def _place_one(
-        self,
-        task: QueuedTask,
-        load: ServiceLoad,
-        racks: dict[JobId, dict[str, int]],
-    ) -> UpstreamState | None:
-        job_racks = racks.setdefault(task.job, {})
-        choice = self._placement.choose(task, load.pool, job_racks)
-        if choice is None:
-            self._order.skip()
-            return None
-        self._order.take(task)
-        load.note_unqueued(task)
-        load.tokens.add(-1)
-        self._book(task, choice)
-        rack = choice.spec.rack
-        job_racks[rack] = job_racks.get(rack, 0) + 1
-        return choice
-
-    def _book(self, task: QueuedTask, state: UpstreamState) -> None:
-        state.book(task)
-        load = self._loads.get(task.job.service)
-        if load is not None:
-            load.running += 1
-        self._registry.update(state)
-
-    def _release(
-        self,
-        state: UpstreamState,
-        task_id: str,
-    ) -> QueuedTask | None:
-        task = state.release(task_id)
-        if task is None:
-            return None
-        self._order.release(task)
-        load = self._loads.get(task.job.service)
-        if load is not None:
-            load.running -= 1
-            assert load.running >= 0, f'{task_id} ended but none was running'
-        self._registry.update(state)
-        return task
-
-    def _note_drained(self, placed: list[PlacedTask], now_s: float) -> None:
-        counts: dict[str, int] = {}
-        for placement in placed:
-            service = placement.task.job.service
-            counts[service] = counts.get(service, 0) + 1
-        for service, tasks in counts.items():
-            self._loads[service].drained.add(tasks, now_s)
+    def _learn(self, task: QueuedTask, outcome: TaskOutcome) -> None:
+        load = self._bookings.loads.get(task.job.service)
+        if load is not None and outcome.status is OutcomeStatus.SUCCEEDED:
+            estimate = load.estimates.get(task.kind)
+            if estimate is not None:
+                estimate.observe(outcome.run_s)
--- a/packages/core/cactushead_core/scheduling/service.py
+++ b/packages/core/cactushead_core/scheduling/service.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..documents.model import RequestKind, ServiceDocument
+from .estimates import DEFAULT_RUN_S, RunTimeEstimate
 from .model import QueuedTask
 from .pool import UpstreamPool
 from .rates import DrainRate, TokenBucket
@@ -25,6 +26,7 @@
         tokens: Limit on the rate of starts.
         drained: Observed rate at which its queue drains.
         kinds: Request kinds of the document, by name.
+        estimates: Run times of the request kinds, by name.
     """
 
     document: ServiceDocument
@@ -35,6 +37,7 @@
     tokens: TokenBucket = field(default_factory=TokenBucket)
     drained: DrainRate = field(default_factory=DrainRate)
     kinds: dict[str, RequestKind] = field(default_factory=dict)
+    estimates: dict[str, RunTimeEstimate] = field(default_factory=dict)
 
     @property
     def may_start(self) -> bool:
@@ -61,10 +64,24 @@
         self.document = document
         self.pool = pool
         self.kinds = {kind.name: kind for kind in document.requests}
+        self.estimates = {
+            kind.name: self.estimates.get(kind.name)
+            or RunTimeEstimate(kind.timeout_s)
+            for kind in document.requests
+        }
         self.tokens.refill(now_s)
         self.tokens.rate_per_s = document.limits.starts_per_s
         self.tokens.add(0)
 
+    def estimate_s(self, kind: str) -> float:
+        """Returns how long a task of a kind will probably run.
+
+        Args:
+            kind: Request kind; one of an earlier document has no estimate.
+        """
+        estimate = self.estimates.get(kind)
+        return DEFAULT_RUN_S if estimate is None else estimate.value_s
+
     def note_waiting(self, task: QueuedTask) -> None:
         """Counts a task that begins to wait.
 
--- /dev/null
+++ b/packages/core/cactushead_core/scheduling/shares.py
@@ -0,0 +1,64 @@
+"""Shares of teams and callers: the run time that each was given.
+
+Explanation:
+    A share has a virtual time: the estimated run time of what was started.
+    This is start-time fair queueing (Goyal, Vin, Cheng 1996): whoever begins
+    to wait anew starts at the virtual time of the last one served, so idle
+    time earns no credit.
+
+    Shares are compared by rounds of a quantum, as in deficit round robin
+    (Shreedhar, Varghese 1995). Within a round the job with the least work is
+    next, whosever it is.
+"""
+
+from dataclasses import dataclass
+
+# Slot time by which backlogged callers may get ahead of each other.
+QUANTUM_S = 1.0
+
+Rank = tuple[int, float]
+
+
+@dataclass(slots=True)
+class Share:
+    """What a team or caller has been given, compared among its kind.
+
+    Attributes:
+        held: Slots that its tasks occupy.
+        waiting: Its tasks that wait.
+        served_s: Virtual time.
+    """
+
+    held: int = 0
+    waiting: int = 0
+    served_s: float = 0.0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing runs or waits."""
+        return self.held == 0 and self.waiting == 0
+
+    @property
+    def round(self) -> int:
+        """Round in which its next task starts; the lowest is next."""
+        return int(self.served_s // QUANTUM_S)
+
+    def note_waiting(self, floor_s: float) -> None:
+        """Counts a task that begins to wait.
+
+        Args:
+            floor_s: Virtual time of the last one served.
+        """
+        if self.waiting == 0:
+            self.served_s = max(self.served_s, floor_s)
+        self.waiting += 1
+
+    def note_started(self, estimate_s: float) -> None:
+        """Counts a waiting task that starts.
+
+        Args:
+            estimate_s: How long it will probably run.
+        """
+        self.waiting -= 1
+        self.held += 1
+        self.served_s += estimate_s
--- /dev/null
+++ b/packages/core/cactushead_core/scheduling/tests/test_fair.py
@@ -0,0 +1,164 @@
+"""Tests of the order between teams, callers and jobs."""
+
+from cactushead_core.scheduling import (
+    ArrivalOrder,
+    FairOrder,
+    FirstFitPlacement,
+    Scheduler,
+    SpreadPlacement,
+)
+
+from .builders import document, outcome, spec, task
+from .replay import consortium, percentile, replay
+
+
+def make(slots=8, services=('s',), team='team', **fields):
+    scheduler = Scheduler(FairOrder, SpreadPlacement())
+    for service in services:
+        scheduler.set_document(document(service, team=team), 0.0)
+    announced = spec('u1', slots=slots, **fields)
+    scheduler.set_upstream(announced, available=True, now_s=0.0)
+    return scheduler
+
+
+def enqueue(scheduler, key, count, **fields):
+    for index in range(count):
+        scheduler.enqueue(task(key, index, **fields))
+
+
+def turn_over(scheduler, rounds, running=(), long=''):
+    """Ends the oldest task and places another, so many times."""
+    running, order = [*running, *scheduler.place(0.0)], []
+    for number in range(rounds):
+        ended = running.pop(0).task
+        run_s = 1.0 if ended.job.key == long else 0.1
+        scheduler.task_ended('u1', outcome(ended, run_s=run_s), 0.0)
+        placed = scheduler.place(number / 1000)
+        running.extend(placed)
+        order.extend(at.task for at in placed)
+    return order
+
+
+def test_small_caller_is_next_behind_a_flood():
+    scheduler = make()
+    enqueue(scheduler, 'flood', 500, caller='a')
+    running = scheduler.place(0.0)
+    enqueue(scheduler, 'small', 2, caller='b', queued_s=1.0)
+    order = turn_over(scheduler, 5, running)
+    assert [at.job.key for at in order[:3]].count('small') == 2
+
+
+def test_teams_share_evenly_whatever_their_number_of_callers():
+    scheduler = make(services=('s',))
+    scheduler.set_document(document('t', team='other'), 0.0)
+    for caller in 'abc':
+        enqueue(scheduler, f'many-{caller}', 200, caller=caller)
+    enqueue(scheduler, 'one', 200, service='t', team='other', caller='d')
+    order = turn_over(scheduler, 200)
+    assert 95 <= sum(at.team == 'other' for at in order) <= 105
+
+
+def test_callers_of_a_team_share_evenly_over_its_services():
+    scheduler = make(services=('s', 't'))
+    enqueue(scheduler, 'x', 200, caller='a', service='s')
+    enqueue(scheduler, 'y', 200, caller='a', service='t')
+    enqueue(scheduler, 'z', 200, caller='b', service='t')
+    order = turn_over(scheduler, 200)
+    assert 90 <= sum(at.caller == 'b' for at in order) <= 110
+
+
+def test_shares_weigh_run_time_not_number_of_tasks():
+    scheduler = make(services=('s', 't'))
+    for kind_s, service in ((1.0, 's'), (0.1, 't')):
+        ended = task('probe', service=service)
+        scheduler.occupy(ended, 'u1')
+        scheduler.task_ended('u1', outcome(ended, run_s=kind_s), 0.0)
+    enqueue(scheduler, 'long', 400, caller='a', service='s')
+    enqueue(scheduler, 'short', 400, caller='b', service='t')
+    order = turn_over(scheduler, 220, long='long')
+    short = sum(at.caller == 'b' for at in order)
+    assert 8 <= short / (len(order) - short) <= 12
+
+
+def test_smaller_job_of_a_caller_goes_first():
+    scheduler = make(slots=1)
+    enqueue(scheduler, 'large', 30)
+    running = scheduler.place(0.0)
+    enqueue(scheduler, 'small', 2, queued_s=1.0)
+    order = turn_over(scheduler, 3, running)
+    assert [at.job.key for at in order] == ['small', 'small', 'large']
+
+
+def test_job_is_overtaken_for_a_bounded_time_only():
+    scheduler = make(slots=1)
+    enqueue(scheduler, 'large', 300)
+    running = scheduler.place(0.0)
+    enqueue(scheduler, 'late', 2, queued_s=10.1)
+    assert turn_over(scheduler, 1, running)[0].job.key == 'large'
+
+
+def test_idle_time_earns_no_credit():
+    scheduler = make()
+    enqueue(scheduler, 'a', 400, caller='a')
+    running = scheduler.place(0.0)
+    for _ in range(200):
+        scheduler.task_ended('u1', outcome(running.pop(0).task), 0.0)
+        running += scheduler.place(0.0)
+    enqueue(scheduler, 'b', 400, caller='b')
+    order = turn_over(scheduler, 100, running)
+    assert 45 <= sum(at.caller == 'b' for at in order) <= 60
+
+
+def test_large_task_blocks_nobody_and_does_not_starve():
+    scheduler = make(cores=8.0)
+    enqueue(scheduler, 'first', 8, cores=1.0)
+    running = scheduler.place(0.0)
+    enqueue(scheduler, 'large', 1, cores=8.0, caller='b', queued_s=0.1)
+    enqueue(scheduler, 'flood', 400, cores=1.0, queued_s=0.2)
+    started_s = {}
+    for number in range(60):
+        now_s = number / 10
+        ended = running.pop(0).task
+        scheduler.task_ended('u1', outcome(ended), now_s)
+        for placed in scheduler.place(now_s):
+            running.append(placed)
+            started_s.setdefault(placed.task.job.key, now_s)
+        if 'large' in started_s:
+            break
+    assert started_s['flood'] < 0.5
+    assert 2.0 <= started_s['large'] <= 3.5
+
+
+def test_blocked_service_does_not_block_another():
+    scheduler = make(services=('s', 't'), slots=2)
+    enqueue(scheduler, 'x', 50, service='s', cores=100.0)
+    enqueue(scheduler, 'y', 1, service='t')
+    assert [at.task.job.key for at in scheduler.place(0.0)] == ['y']
+
+
+def test_last_slots_are_kept_from_a_dominant_caller():
+    scheduler = make(slots=80)
+    enqueue(scheduler, 'flood', 200, caller='a')
+    assert len(scheduler.place(0.0)) == 78
+    enqueue(scheduler, 'small', 2, caller='b')
+    assert len(scheduler.place(0.0)) == 2
+
+
+def test_flood_slows_a_small_caller_by_less_than_a_fifth():
+    arrivals = consortium(5, flood=True, seconds=10)
+    ratios = replay(make_fair(), arrivals)
+    small = [at for at in ratios if at[0].caller != 'flooding']
+    assert percentile(small, 0.99) <= 1.2
+
+
+def test_arrival_order_shows_the_flood_that_fair_order_removes():
+    arrivals = consortium(5, flood=True, seconds=10)
+    baseline = Scheduler(ArrivalOrder, FirstFitPlacement())
+    small = [
+        at for at in replay(baseline, arrivals) if at[0].caller != 'flooding'
+    ]
+    assert percentile(small, 0.99) > 5
+
+
+def make_fair():
+    return Scheduler(FairOrder, SpreadPlacement())
