Carry the time line over the links and show it and the metrics

Each frame begins with the sender's clock stamp, and time line queries pass by the reducer, so that they can't hold up its decisions. Entries show histograms, agents keep sums. An entry's metrics tell whether it leads.

--- a/packages/node/cactushead_node/composition/agent.py
+++ b/packages/node/cactushead_node/composition/agent.py
@@ -9,10 +9,13 @@
 from cactushead_core.events import DrainRequested, PeerRole
 
 from ..inbox import Inbox
+from ..observability import PlainMeters, Timeline
+from ..observability.timeline import AGENT_JOB_EVENTS
 from ..peers import Hello, PeerLinks
 from ..runtime import AGENT_TICK_S, Runtime
 from ..settings import AgentSettings
 from ..upstreams import UpstreamClient, UpstreamTarget
+from .observing import Observation
 from .peering import FLUSH_TIMEOUT_S, dial_voters, make_incarnation
 
 _log = logging.getLogger('cactushead.agent')
@@ -37,7 +40,10 @@
             config.cell,
         )
         self._settings = settings
-        self._links = PeerLinks(hello, inbox.put)
+        timeline = Timeline(config.name, job_events=AGENT_JOB_EVENTS)
+        observation = Observation('agent', timeline, PlainMeters())
+        self._links = PeerLinks(hello, inbox.put, observation.channel)
+        observation.join(self._links)
         self._upstream = UpstreamClient(_make_target(settings), inbox.put, now)
         self._runtime = Runtime(
             AgentNode(config, now()),
@@ -45,6 +51,7 @@
             tick_s=AGENT_TICK_S,
             inbox=inbox,
             upstream=self._upstream,
+            observer=observation.observer,
             now=now,
         )
 
--- a/packages/node/cactushead_node/composition/entry.py
+++ b/packages/node/cactushead_node/composition/entry.py
@@ -15,12 +15,16 @@
 
 from ..callers import RequestPort, make_app, serve_callers
 from ..inbox import Inbox
+from ..observability import Timeline
+from ..observability.metrics import Metrics
+from ..observability.reports import Reports
 from ..peers import Hello, PeerLinks
 from ..peers.listener import listen
 from ..runtime import ENTRY_TICK_S, Runtime
 from ..settings import EntrySettings, VoterAddress
-from ..status import EntryStatus
+from ..status import EntryStatus, read_state
 from ..storage import Storage, open_storage
+from .observing import Observation
 from .peering import FLUSH_TIMEOUT_S, dial_voters, make_incarnation
 
 CALLERS_DRAIN_S = 3600.0
@@ -76,7 +80,9 @@
             config.incarnation,
             config.cell,
         )
-        self._links = PeerLinks(hello, inbox.put)
+        metrics = Metrics(config.name)
+        observation = Observation('entry', Timeline(config.name), metrics)
+        self._links = PeerLinks(hello, inbox.put, observation.channel)
         node = EntryNode(config, _load(self._storage), now())
         self._runtime = Runtime(
             node,
@@ -84,13 +90,18 @@
             tick_s=ENTRY_TICK_S,
             inbox=inbox,
             storage=self._storage,
+            observer=observation.observer,
             now=now,
         )
-        self._status = EntryStatus(
-            node,
-            self._links.counters,
-            prepared=prepared,
+        metrics.add_source('links', lambda: self._links.counters)
+        metrics.add_source('state', lambda: read_state(node))
+        reports = Reports(
+            observation.timeline,
+            metrics,
+            observation.join(self._links),
+            self._find_relay,
         )
+        self._status = EntryStatus(node, reports, prepared=prepared)
 
     @property
     def requests(self) -> RequestPort:
@@ -137,6 +148,12 @@
             self._storage.close()
         _log.info('entry: %s has drained', self._settings.name)
 
+    def _find_relay(self) -> str:
+        """Returns a voter that has links to all, unless this is one."""
+        if self._settings.is_voter:
+            return ''
+        return next(iter(self._links.connected), '')
+
     async def _join(self, nursery: trio.Nursery) -> int:
         """Listens for peers if this is a voter, and dials the others."""
         settings = self._settings
--- a/packages/node/cactushead_node/peers/links.py
+++ b/packages/node/cactushead_node/peers/links.py
@@ -14,7 +14,7 @@
 from websockets.trio.client import connect
 from websockets.trio.connection import Connection
 
-from ..ports import Deliver, MessageTransport
+from ..ports import Deliver, MessageTransport, SideChannel
 from .counters import LinkCounters
 from .link import CLOSE_TIMEOUT_S, Link, close_socket
 from .messages import Hello
@@ -73,13 +73,20 @@
         counters: Traffic over all links.
     """
 
-    def __init__(self, hello: Hello, deliver: Deliver) -> None:
+    def __init__(
+        self,
+        hello: Hello,
+        deliver: Deliver,
+        side_channel: SideChannel | None = None,
+    ) -> None:
         """Starts without links.
 
         Args:
             hello: What this process says of itself.
             deliver: Takes the events.
+            side_channel: Takes messages that are not for the reducer.
         """
+        self._side_channel = side_channel
         self.counters = LinkCounters()
         self._hello = hello
         self._deliver = deliver
@@ -204,9 +211,12 @@
         return ''
 
     def _send_on(self, link: Link, messages: Sequence[Message]) -> None:
-        frame = encode_frame(messages)
+        content = messages
+        if self._side_channel is not None:
+            content = [self._side_channel.first_message(), *messages]
+        frame = encode_frame(content)
         if len(frame) <= MAX_FRAME_BYTES:
-            link.send(frame, len(messages))
+            link.send(frame, len(content))
         elif len(messages) > 1:
             middle = len(messages) // 2
             self._send_on(link, messages[:middle])
@@ -221,10 +231,14 @@
             )
 
     def _receive(self, link: Link, message: Message) -> None:
-        if link.open:
-            self._deliver(
-                partial(MessageReceived, sender=link.peer, message=message),
-            )
+        if not link.open:
+            return
+        channel = self._side_channel
+        if channel is not None and channel.take(link.peer.name, message):
+            return
+        self._deliver(
+            partial(MessageReceived, sender=link.peer, message=message),
+        )
 
     def _add(self, link: Link) -> None:
         links = self._links.setdefault(link.peer.name, [])
--- a/packages/node/cactushead_node/ports.py
+++ b/packages/node/cactushead_node/ports.py
@@ -32,6 +32,26 @@
         """
 
 
+class SideChannel(ABC):
+    """Messages over the links that are not for the reducer."""
+
+    @abstractmethod
+    def first_message(self) -> Message:
+        """Returns the message that goes ahead in each frame."""
+
+    @abstractmethod
+    def take(self, peer: str, message: Message) -> bool:
+        """Takes a message that is not for the reducer.
+
+        Args:
+            peer: Name of the sender.
+            message: Any message.
+
+        Returns:
+            Whether the message was taken.
+        """
+
+
 class UpstreamPort(ABC):
     """Starts and stops tasks at the agent's upstream."""
 
--- a/packages/node/cactushead_node/runner.py
+++ b/packages/node/cactushead_node/runner.py
@@ -8,13 +8,11 @@
 
 import trio
 
+from .observability import set_up_logs
 from .settings import LogSettings
 
 EXIT_FAILED = 1
 
-_LOG_FORMAT = '%(asctime)s %(levelname)s %(message)s'
-_LIBRARY_LOGGERS = ('websockets', 'httpcore', 'hypercorn')
-
 _log = logging.getLogger('cactushead.main')
 
 
@@ -72,10 +70,9 @@
 
 
 def _set_up_log(log: LogSettings, log_file: str) -> None:
-    logging.basicConfig(
-        level=log.level.upper(),
-        format=_LOG_FORMAT,
-        filename=log_file or None,
-    )
-    for library in _LIBRARY_LOGGERS:
-        logging.getLogger(library).setLevel(logging.WARNING)
+    set_up_logs(log)
+    if log_file:
+        root = logging.getLogger()
+        handler = logging.FileHandler(log_file)
+        handler.setFormatter(root.handlers[0].formatter)
+        root.handlers = [handler]
--- a/packages/node/cactushead_node/runtime.py
+++ b/packages/node/cactushead_node/runtime.py
@@ -31,6 +31,7 @@
 
 ENTRY_TICK_S = 0.05
 AGENT_TICK_S = 0.1
+SYNC_METRIC = 'sync_s'
 
 _log = logging.getLogger('cactushead.runtime')
 
@@ -97,7 +98,8 @@
         self._outgoing: dict[str, list[Message]] = defaultdict(list)
         self._writes: list[fx.Effect] = []
         self._writes_waiting = trio.lowlevel.ParkingLot()
-        self._performers = self._make_performers(observer or NullObserver())
+        self._observer = observer or NullObserver()
+        self._performers = self._make_performers()
 
     def deliver(self, make_event: MakeTimedEvent) -> None:
         """Queues an event for the next turn.
@@ -155,14 +157,13 @@
 
     def _make_performers(
         self,
-        observer: Observer,
     ) -> dict[type[fx.Effect], Callable[[Any], None]]:
         performers: dict[type[fx.Effect], Callable[[Any], None]] = {
             fx.Send: self._send,
             fx.Respond: self._respond,
-            fx.Record: observer.record,
-            fx.Measure: observer.measure,
-            fx.Count: observer.count,
+            fx.Record: self._observer.record,
+            fx.Measure: self._observer.measure,
+            fx.Count: self._observer.count,
             fx.Drained: self._end,
         }
         if self._storage is not None:
@@ -196,8 +197,11 @@
                 await self._writes_waiting.park()
             writes = self._writes
             self._writes = []
+            began_s = self._now()
             for event in await storage.perform(writes, self._now):
                 self.deliver(_stamp(event))
+            duration_s = self._now() - began_s
+            self._observer.measure(fx.Measure(SYNC_METRIC, duration_s))
 
 
 def _stamp(event: Event) -> MakeTimedEvent:
--- a/packages/node/cactushead_node/status.py
+++ b/packages/node/cactushead_node/status.py
@@ -1,12 +1,24 @@
 """What an entry shows of itself over HTTP."""
 
-import json
-from dataclasses import asdict
+from dataclasses import dataclass
 
 from cactushead_core.entry import EntryNode
 
 from .callers import StatusPort
-from .peers import LinkCounters
+from .observability.reports import Reports
+
+
+@dataclass(frozen=True, slots=True)
+class EntryState:
+    """The state of an entry among its metrics.
+
+    Attributes:
+        leads: 1 if the entry leads its cell, else 0.
+        ready: 1 if it can serve requests now, else 0.
+    """
+
+    leads: int
+    ready: int
 
 
 class EntryStatus(StatusPort):
@@ -15,7 +27,7 @@
     def __init__(
         self,
         node: EntryNode,
-        counters: LinkCounters,
+        reports: Reports,
         *,
         prepared: bool,
     ) -> None:
@@ -23,12 +35,12 @@
 
         Args:
             node: The entry's reducer.
-            counters: Traffic to other processes.
+            reports: Time line and metrics.
             prepared: Whether the process is ready without further steps.
         """
-        self._prepared = prepared
         self._node = node
-        self._counters = counters
+        self._reports = reports
+        self._prepared = prepared
         self._draining = False
 
     def ready(self) -> bool:
@@ -48,17 +60,26 @@
         self._draining = True
 
     async def timeline_json(self, query: dict[str, str]) -> bytes:
-        """Returns the time line of all processes as JSON lines."""
-        return b''
+        """Returns the time line of all processes as JSON lines.
+
+        Args:
+            query: Checked filters.
+        """
+        return await self._reports.timeline_json(query)
 
     def metrics_json(self) -> bytes:
         """Returns percentiles and counters as JSON."""
-        shown = {
-            'leader': self._node.gateway.leader,
-            'links': asdict(self._counters),
-        }
-        return json.dumps(shown).encode()
+        return self._reports.metrics_json()
 
     def metrics_text(self) -> bytes:
         """Returns the metrics in the text form that scrapers read."""
-        return b''
+        return self._reports.metrics_text()
+
+
+def read_state(node: EntryNode) -> EntryState:
+    """Returns the state of an entry.
+
+    Args:
+        node: The entry's reducer.
+    """
+    return EntryState(int(node.leader is not None), int(node.ready))
