Keep the HTTP interface and HTTP/2 out of the agent

The runtime imported the port of the HTTP interface, and with it hypercorn and pydantic.

The cluster script left its processes behind when it was stopped before its upstreams answered; now it stops them.

--- a/packages/node/cactushead_node/composition/peering.py
+++ b/packages/node/cactushead_node/composition/peering.py
@@ -1,6 +1,6 @@
 """What all roles do to join the other processes."""
 
-import uuid
+import secrets
 from collections.abc import Iterable
 
 import trio
@@ -9,11 +9,12 @@
 from ..settings import VoterAddress
 
 FLUSH_TIMEOUT_S = 1.0
+INCARNATION_BYTES = 16
 
 
 def make_incarnation() -> str:
     """Returns a new identity for this run of a process."""
-    return uuid.uuid4().hex
+    return secrets.token_hex(INCARNATION_BYTES)
 
 
 def dial_voters(
--- a/packages/node/cactushead_node/main.py
+++ b/packages/node/cactushead_node/main.py
@@ -105,6 +105,8 @@
         a tenth of the agent's memory.
     """
     if _is_plain_agent(arguments):
+        # httpcore loads h2 where it is installed; an agent speaks HTTP/1.1.
+        sys.modules.setdefault('h2', None)  # type: ignore[arg-type]
         Daemon().agent(*arguments[2::2])
         return
     if not arguments:
--- a/packages/node/cactushead_node/runtime.py
+++ b/packages/node/cactushead_node/runtime.py
@@ -14,10 +14,10 @@
 from cactushead_core.messages import Message
 from cactushead_core.reducer import Node
 
-from .callers.port import MakeEvent, RequestPort
 from .inbox import Inbox
 from .ports import (
     Clock,
+    MakeCallerEvent,
     MakeTimedEvent,
     MessageTransport,
     NullObserver,
@@ -46,7 +46,7 @@
         self.response: fx.Response | None = None
 
 
-class Runtime(RequestPort):
+class Runtime:
     """Runs one reducer on one loop.
 
     Explanation:
@@ -109,7 +109,7 @@
         """
         self._inbox.put(make_event)
 
-    async def request(self, make_event: MakeEvent) -> fx.Response:
+    async def request(self, make_event: MakeCallerEvent) -> fx.Response:
         """Feeds one request's event and returns the reducer's response.
 
         Args:
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -30,6 +30,7 @@
 POLL_S = 0.05
 SETTLE_S = 0.3
 OK = 200
+HTTP_ERRORS = (httpcore.NetworkError, httpcore.ProtocolError)
 
 
 class ClusterError(Exception):
@@ -232,14 +233,15 @@
     path = 'healthz' if child.plan.role == 'upstream' else 'readyz'
     try:
         return httpcore.request('GET', f'{child.plan.url}/{path}').status == OK
-    except (httpcore.NetworkError, httpcore.ProtocolError):
+    except HTTP_ERRORS:
         return False
 
 
 def _is_busy(child: Child) -> bool:
-    if not _lives(child):
+    try:
+        response = httpcore.request('GET', f'{child.plan.url}/healthz')
+    except HTTP_ERRORS:
         return False
-    response = httpcore.request('GET', f'{child.plan.url}/healthz')
     return json.loads(response.content)['running'] > 0
 
 
