Take the agent whose upstream is busiest for faults

A fault on an idle agent shows nothing: a kill at 4 s hit an upstream without a task and no job was lost. Counters with labels are found by their name.

--- a/packages/cli/cactushead_cli/bench/cluster.py
+++ b/packages/cli/cactushead_cli/bench/cluster.py
@@ -139,3 +139,37 @@
             if name in by_name:
                 return by_name[name]
     raise UsageError('the time line shows no election of a leader')
+
+
+async def find_busy_agent(
+    cluster: Cluster,
+    transport: Transport,
+) -> ClusterProcess:
+    """Returns the agent whose upstream runs the most tasks now.
+
+    Args:
+        cluster: The cluster.
+        transport: Carries the requests.
+
+    Raises:
+        UsageError: If the cluster has no agent.
+    """
+    running = {
+        upstream.name: await _running_tasks(upstream, transport)
+        for upstream in cluster.of_role('upstream')
+    }
+    agents = cluster.of_role('agent')
+    if not agents:
+        raise UsageError('the cluster file lists no agent')
+    return max(agents, key=lambda agent: running.get(agent.name, 0))
+
+
+async def _running_tasks(
+    upstream: ClusterProcess,
+    transport: Transport,
+) -> int:
+    try:
+        reply = await transport.send(upstream.url, HttpCall('GET', '/healthz'))
+        return Fields.decode(reply.body).whole('running')
+    except (EntryError, ValueError):
+        return 0
--- a/packages/cli/cactushead_cli/bench/costs.py
+++ b/packages/cli/cactushead_cli/bench/costs.py
@@ -73,33 +73,39 @@
 
 
 def flatten_counters(raw: 'JsonValue') -> Counters:
-    """Returns the numbers in a JSON value, summed by their field's name.
+    """Returns the numbers in a JSON value, summed by name.
+
+    Explanation:
+        A number counts for its field and for the object that holds it, so
+        that a counter with labels is found by the counter's name.
 
     Examples:
-        >>> dict(flatten_counters({'links': {'sent_frames': 2}, 'a': 'b'}))
-        {'sent_frames': 2}
+        >>> found = flatten_counters({'refusals': {'quota': 2, 'full': 1}})
+        >>> found['refusals'], found['quota']
+        (3, 2)
 
     Args:
         raw: Decoded JSON.
     """
     totals: Counter[str] = Counter()
-    _add_numbers(raw, '', totals)
+    _add_numbers(raw, ('',), totals)
     return totals
 
 
 def _add_numbers(
     raw: 'JsonValue',
-    name: str,
+    names: tuple[str, ...],
     totals: 'Counter[str]',
 ) -> None:
     if isinstance(raw, dict):
         for child_name, child in raw.items():
-            _add_numbers(child, child_name, totals)
+            _add_numbers(child, (names[-1], child_name), totals)
     elif isinstance(raw, list):
         for child in raw:
-            _add_numbers(child, name, totals)
+            _add_numbers(child, names, totals)
     elif isinstance(raw, int | float) and not isinstance(raw, bool):
-        totals[name] += raw
+        for name in names:
+            totals[name] += raw
 
 
 def counted_between(
--- a/packages/cli/cactushead_cli/bench/faults.py
+++ b/packages/cli/cactushead_cli/bench/faults.py
@@ -7,7 +7,7 @@
 import trio
 
 from ..client import Transport, UsageError
-from .cluster import Cluster, find_leader
+from .cluster import Cluster, find_busy_agent, find_leader
 from .fault_model import FaultNote
 from .shapes import LoadSpec
 
@@ -118,7 +118,7 @@
     """Kills one agent and starts it again later."""
 
     async def _perform(self, plan: FaultPlan) -> None:
-        agent = plan.processes.of_role('agent')[0]
+        agent = await find_busy_agent(plan.processes, plan.transport)
         plan.note('killed agent', agent.name)
         plan.processes.kill(agent)
         await trio.sleep(RESTART_AFTER_S)
@@ -130,7 +130,7 @@
     """Freezes one agent for longer than its lease."""
 
     async def _perform(self, plan: FaultPlan) -> None:
-        agent = plan.processes.of_role('agent')[0]
+        agent = await find_busy_agent(plan.processes, plan.transport)
         plan.processes.freeze(agent)
         plan.note('froze agent', agent.name)
         try:
@@ -161,7 +161,7 @@
     """Asks one agent to leave gracefully."""
 
     async def _perform(self, plan: FaultPlan) -> None:
-        agent = plan.processes.of_role('agent')[0]
+        agent = await find_busy_agent(plan.processes, plan.transport)
         plan.note('terminated agent', agent.name)
         plan.processes.terminate(agent)
 
--- a/packages/cli/cactushead_cli/bench/tests/test_costs.py
+++ b/packages/cli/cactushead_cli/bench/tests/test_costs.py
@@ -13,7 +13,13 @@
         'links': {'sent_frames': 3, 'up': True},
         'peers': [{'sent_frames': 4}, {'received_frames': 1}],
     }
-    assert flatten_counters(raw) == {'sent_frames': 7, 'received_frames': 1}
+    found = flatten_counters(raw)
+    assert (found['sent_frames'], found['received_frames']) == (7, 1)
+
+
+def test_counter_with_labels_is_found_by_its_name():
+    raw = {'counters': {'log_records': {'job': 3, 'task': 4}}}
+    assert flatten_counters(raw)['log_records'] == 7
 
 
 def test_restarted_entry_counts_from_zero():
--- a/packages/cli/cactushead_cli/bench/tests/test_faults.py
+++ b/packages/cli/cactushead_cli/bench/tests/test_faults.py
@@ -15,6 +15,7 @@
 LISTED = [
     {'role': 'entry', 'name': 'e1', 'pid': 11, 'url': 'http://a'},
     {'role': 'entry', 'name': 'e2', 'pid': 12, 'url': 'http://b'},
+    {'role': 'agent', 'name': 'u0', 'pid': 20, 'url': ''},
     {'role': 'agent', 'name': 'u1', 'pid': 21, 'url': ''},
     {'role': 'upstream', 'name': 'u1', 'pid': 31, 'url': 'http://c'},
 ]
@@ -75,7 +76,10 @@
     ],
 )
 def test_fault_acts_on_the_right_process(cluster, name, done):
-    transport = ScriptedTransport(a=[HttpReply(200, ELECTIONS)])
+    transport = ScriptedTransport(
+        a=[HttpReply(200, ELECTIONS)],
+        c=[HttpReply(200, b'{"running": 3}')],
+    )
     notes = []
     plan = FaultPlan(0.0, time.monotonic(), cluster, transport, notes)
     trio.run(FAULTS[name].perform, plan)
