--- a/packages/cli/cactushead_cli/bench/cluster.py
+++ b/packages/cli/cactushead_cli/bench/cluster.py
@@ -11,7 +11,9 @@
 from ..client import (
     Client,
     ClientError,
+    EntryError,
     Fields,
+    HttpCall,
     TimelineQuery,
     Transport,
     UsageError,
@@ -170,6 +172,6 @@
 ) -> int:
     try:
         reply = await transport.send(upstream.url, HttpCall('GET', '/healthz'))
-        return Fields.decode(reply.body).whole('running')
-    except (EntryError, ValueError):
+    except EntryError:
         return 0
+    return Fields.decode(reply.body).whole('running')
--- a/packages/cli/cactushead_cli/bench/costs.py
+++ b/packages/cli/cactushead_cli/bench/costs.py
@@ -98,14 +98,13 @@
     totals: 'Counter[str]',
 ) -> None:
     if isinstance(raw, dict):
-        for child_name, child in raw.items():
-            _add_numbers(child, (names[-1], child_name), totals)
-    elif isinstance(raw, list):
-        for child in raw:
-            _add_numbers(child, names, totals)
-    elif isinstance(raw, int | float) and not isinstance(raw, bool):
-        for name in names:
-            totals[name] += raw
+        for name, child in raw.items():
+            _add_numbers(child, (names[-1], name), totals)
+    if isinstance(raw, list):
+        for listed in raw:
+            _add_numbers(listed, names, totals)
+    if isinstance(raw, int | float) and not isinstance(raw, bool):
+        totals.update(dict.fromkeys(names, raw))
 
 
 def counted_between(
