--- a/packages/node/cactushead_node/ports.py
+++ b/packages/node/cactushead_node/ports.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Sequence
 
 from cactushead_core.effects import Count, Measure, Record, StartRun, StopRun
-from cactushead_core.events import Event
+from cactushead_core.events import CallerEvent, Event
 from cactushead_core.messages import Message
 
 MakeTimedEvent = Callable[[float], Event]
@@ -15,6 +15,9 @@
     frozen while an event waited so never decides by an old clock.
 """
 
+MakeCallerEvent = Callable[[float, int], CallerEvent]
+"""Makes a request's event from the clock and the request's number."""
+
 Deliver = Callable[[MakeTimedEvent], None]
 Clock = Callable[[], float]
 
@@ -32,6 +35,26 @@
         """
 
 
+class SideChannel(ABC):
+    """Messages over the links that are not for the reducer."""
+
+    @abstractmethod
+    def first_message(self) -> Message:
+        """Returns the message that goes ahead in each frame."""
+
+    @abstractmethod
+    def take(self, peer: str, message: Message) -> bool:
+        """Takes a message that is not for the reducer.
+
+        Args:
+            peer: Name of the sender.
+            message: Any message.
+
+        Returns:
+            Whether the message was taken.
+        """
+
+
 class UpstreamPort(ABC):
     """Starts and stops tasks at the agent's upstream."""
 
