Eject upstreams that fail more than their peers; bound restarts

Cause: an upstream that fails everything has free slots all the time and draws most of the work.

A streak of outcomes from the first failure on is scored by a likelihood ratio against the median failure share of the peers on the same kind since then. Above the score the upstream is out for 5 s, doubling to 300 s, and returns with one task, then twice as many with each success; at most half of a pool is out. While too few peers ended tasks since the streak began, the upstream is only suspected and gets no work for up to a second. may_restart allows another start after a known failure of a repeatable kind, within a tenth of the service's starts of the last ten seconds.

--- a/packages/core/cactushead_core/scheduling/__init__.py
+++ b/packages/core/cactushead_core/scheduling/__init__.py
@@ -2,6 +2,7 @@
 
 from .fair import FairOrder
 from .model import PlacedTask, QueuedTask, UpstreamState
+from .notices import SchedulerNotice, UpstreamEjected, UpstreamReadmitted
 from .order import ArrivalOrder, TaskOrder
 from .placement import (
     FirstFitPlacement,
@@ -20,7 +21,10 @@
     'QueuedTask',
     'RandomPlacement',
     'Scheduler',
+    'SchedulerNotice',
     'SpreadPlacement',
     'TaskOrder',
+    'UpstreamEjected',
+    'UpstreamReadmitted',
     'UpstreamState',
 ]
--- /dev/null
+++ b/packages/core/cactushead_core/scheduling/health.py
@@ -0,0 +1,382 @@
+"""Ejection of upstreams that fail more than their peers, and their return.
+
+Explanation:
+    An upstream that fails everything at once has free slots all the time and
+    attracts work. So once its failures look bad and not enough peers have
+    ended tasks of the same kind since, it is suspected and gets no more work
+    until they have, or a second has passed. Ejection times double. An
+    upstream that returns is on probation: one task at first, then twice as
+    many with each success; one failure that its peers don't share ejects it
+    again. At most half of the available upstreams of each pool are out at a
+    time.
+"""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+from itertools import islice
+
+from .evidence import (
+    NEEDED_PEERS,
+    STREAK_OUTCOMES,
+    KindKey,
+    PeerEvidence,
+    Streak,
+    Verdict,
+)
+from .model import UNLIMITED_TASKS, UpstreamState
+from .notices import SchedulerNotice, UpstreamEjected, UpstreamReadmitted
+from .pool import UpstreamPool
+from .registry import UpstreamRegistry
+
+# Three failures in a row while the peers have none, and four.
+SUSPICION_SCORE = 9.0
+EJECTION_SCORE = 12.0
+# One failure while the peers have none.
+PROBATION_SCORE = 3.0
+SUSPECT_S = 1.0
+FIRST_EJECTION_S = 5.0
+LONGEST_EJECTION_S = 300.0
+LARGEST_EJECTED_SHARE = 0.5
+# Ejections longer ago than this many times the last one are forgotten.
+FORGET_FACTOR = 10.0
+
+
+class HealthState(StrEnum):
+    """Where an upstream stands."""
+
+    HEALTHY = 'healthy'
+    SUSPECT = 'suspect'
+    EJECTED = 'ejected'
+    PROBATION = 'probation'
+
+
+@dataclass(slots=True)
+class UpstreamHealth:
+    """What is held against an upstream.
+
+    Attributes:
+        state: Where it stands.
+        streak: Outcomes since its first failure, None without one.
+        allowance: Tasks that it may have while it is healthy or on
+            probation.
+        until_s: End of the suspicion or ejection.
+        ejection_s: Duration of the last ejection, 0 for none.
+        ejected_s: When that began.
+    """
+
+    state: HealthState = HealthState.HEALTHY
+    streak: Streak | None = None
+    allowance: int = UNLIMITED_TASKS
+    until_s: float = math.inf
+    ejection_s: float = 0.0
+    ejected_s: float = -math.inf
+
+    @property
+    def is_out(self) -> bool:
+        """Whether it gets no tasks."""
+        return self.state in {HealthState.SUSPECT, HealthState.EJECTED}
+
+    @property
+    def suspicious_score(self) -> float:
+        """Score at which it gets no more work until it is judged."""
+        return min(SUSPICION_SCORE, self.needed_score)
+
+    @property
+    def needed_score(self) -> float:
+        """Score at which it is ejected."""
+        if self.allowance < UNLIMITED_TASKS:
+            return PROBATION_SCORE
+        return EJECTION_SCORE
+
+    def next_ejection_s(self, now_s: float) -> float:
+        """Returns how long an ejection lasts that begins now.
+
+        Args:
+            now_s: The leader's monotonic clock.
+        """
+        since_s = now_s - self.ejected_s
+        if since_s > self.ejection_s * FORGET_FACTOR:
+            return FIRST_EJECTION_S
+        return min(LONGEST_EJECTION_S, 2 * self.ejection_s)
+
+
+class HealthMonitor:
+    """Judges upstreams by their outcomes and sets their allowance."""
+
+    def __init__(self, registry: UpstreamRegistry) -> None:
+        """Starts with all upstreams healthy.
+
+        Args:
+            registry: The upstreams.
+        """
+        self._registry = registry
+        self._evidence = PeerEvidence()
+        self._healths: dict[str, UpstreamHealth] = {}
+        self._out: dict[str, UpstreamHealth] = {}
+        self._notices: list[SchedulerNotice] = []
+
+    @property
+    def next_change_s(self) -> float:
+        """When the next suspicion or ejection ends, infinity for none."""
+        return min(
+            (health.until_s for health in self._out.values()),
+            default=math.inf,
+        )
+
+    def drain_notices(self) -> list[SchedulerNotice]:
+        """Returns the notices since the last call."""
+        notices = self._notices
+        self._notices = []
+        return notices
+
+    def apply(self, state: UpstreamState) -> None:
+        """Sets the allowance of an upstream that is announced again.
+
+        Args:
+            state: The upstream.
+        """
+        health = self._healths.get(state.spec.name)
+        if health is not None:
+            state.allowance = 0 if health.is_out else health.allowance
+            self._registry.update(state)
+
+    def forget_upstream(self, upstream: str) -> None:
+        """Drops the outcomes of an upstream; its ejection stays.
+
+        Args:
+            upstream: Name of the upstream.
+        """
+        self._evidence.forget_upstream(upstream)
+        if upstream not in self._out:
+            self._healths.pop(upstream, None)
+
+    def keep_kinds(self, service: str, kinds: Iterable[str]) -> None:
+        """Drops request kinds that a service's document has no more.
+
+        Args:
+            service: Name of the service.
+            kinds: Names of its request kinds.
+        """
+        self._evidence.keep_kinds(service, set(kinds))
+
+    def record(
+        self,
+        state: UpstreamState,
+        kind: KindKey,
+        now_s: float,
+        *,
+        failed: bool,
+    ) -> None:
+        """Takes an outcome in and judges the upstream.
+
+        Args:
+            state: The upstream.
+            kind: Service and request kind of the task.
+            now_s: The leader's monotonic clock.
+            failed: Whether the task failed.
+        """
+        name = state.spec.name
+        health = self._healths.get(name)
+        if health is not None and health.state is HealthState.EJECTED:
+            return
+        self._evidence.observe(kind, name, now_s, failed=failed)
+        if health is None and failed:
+            health = UpstreamHealth()
+            self._healths[name] = health
+        if health is not None:
+            self._note(health, kind, now_s, failed=failed)
+            self._judge(name, health, now_s)
+            if not failed:
+                self._note_success(state, health)
+        if self._out:
+            self._review_suspects(now_s)
+
+    def advance(self, now_s: float) -> None:
+        """Ends suspicions and ejections whose time is over.
+
+        Args:
+            now_s: The leader's monotonic clock.
+        """
+        for name, health in tuple(self._out.items()):
+            if now_s < health.until_s:
+                continue
+            if health.state is HealthState.EJECTED:
+                health.allowance = 1
+                self._return(name, health, HealthState.PROBATION)
+                self._notices.append(UpstreamReadmitted(name))
+            else:
+                verdict = self._weigh(name, health, since_s=-math.inf)
+                self._end_suspicion(name, health, verdict, now_s)
+
+    def _note(
+        self,
+        health: UpstreamHealth,
+        kind: KindKey,
+        now_s: float,
+        *,
+        failed: bool,
+    ) -> None:
+        if health.streak is None and failed:
+            health.streak = Streak(now_s)
+        if health.streak is not None:
+            health.streak.add(kind, failed=failed)
+
+    def _note_success(
+        self,
+        state: UpstreamState,
+        health: UpstreamHealth,
+    ) -> None:
+        if health.state is HealthState.PROBATION:
+            health.allowance *= 2
+            if health.allowance >= state.spec.slots + state.queue_depth:
+                health.allowance = UNLIMITED_TASKS
+                health.state = HealthState.HEALTHY
+                health.streak = None
+            state.allowance = health.allowance
+            self._registry.update(state)
+
+    def _judge(
+        self,
+        name: str,
+        health: UpstreamHealth,
+        now_s: float,
+    ) -> None:
+        streak = health.streak
+        if streak is None:
+            return
+        highest = streak.highest_score()
+        if highest >= health.suspicious_score:
+            self._judge_bad(name, health, now_s)
+            return
+        if health.state is HealthState.SUSPECT:
+            self._resume(name, health)
+        if highest <= 0 or streak.ended > STREAK_OUTCOMES:
+            health.streak = None
+
+    def _judge_bad(
+        self,
+        name: str,
+        health: UpstreamHealth,
+        now_s: float,
+    ) -> None:
+        verdict = self._weigh(name, health, health.streak.began_s)
+        if verdict.score >= health.needed_score:
+            self._eject(name, health, verdict, now_s)
+        elif verdict.decided:
+            if health.state is HealthState.SUSPECT:
+                self._resume(name, health)
+            if health.streak.ended > STREAK_OUTCOMES:
+                health.streak = None
+        elif not health.is_out and self._may_take_out(name):
+            health.state = HealthState.SUSPECT
+            self._take_out(name, health, now_s + SUSPECT_S)
+
+    def _review_suspects(self, now_s: float) -> None:
+        for name, health in tuple(self._out.items()):
+            if health.state is HealthState.SUSPECT:
+                self._judge_bad(name, health, now_s)
+
+    def _end_suspicion(
+        self,
+        name: str,
+        health: UpstreamHealth,
+        verdict: Verdict,
+        now_s: float,
+    ) -> None:
+        if verdict.score >= health.needed_score:
+            self._eject(name, health, verdict, now_s)
+        else:
+            self._resume(name, health)
+            health.streak = None
+
+    def _weigh(
+        self,
+        name: str,
+        health: UpstreamHealth,
+        since_s: float,
+    ) -> Verdict:
+        peers = max(
+            (_count_serving(pool) for pool in self._registry.pools_of(name)),
+            default=0,
+        )
+        return self._evidence.weigh(name, health.streak, peers, since_s)
+
+    def _eject(
+        self,
+        name: str,
+        health: UpstreamHealth,
+        verdict: Verdict,
+        now_s: float,
+    ) -> None:
+        if not health.is_out and not self._may_take_out(name):
+            return
+        streak = health.streak
+        cause = (
+            f'failed {streak.failed} of {streak.ended} tasks, '
+            f'its peers {verdict.peer_share:.0%}'
+        )
+        health.ejection_s = health.next_ejection_s(now_s)
+        health.ejected_s = now_s
+        health.state = HealthState.EJECTED
+        health.streak = None
+        self._take_out(name, health, now_s + health.ejection_s)
+        self._notices.append(UpstreamEjected(name, cause, health.until_s))
+
+    def _resume(self, name: str, health: UpstreamHealth) -> None:
+        on_probation = health.allowance < UNLIMITED_TASKS
+        self._return(
+            name,
+            health,
+            HealthState.PROBATION if on_probation else HealthState.HEALTHY,
+        )
+
+    def _take_out(
+        self,
+        name: str,
+        health: UpstreamHealth,
+        until_s: float,
+    ) -> None:
+        health.until_s = until_s
+        self._out[name] = health
+        self._set_allowance(name, 0)
+
+    def _return(
+        self,
+        name: str,
+        health: UpstreamHealth,
+        state: HealthState,
+    ) -> None:
+        health.state = state
+        health.until_s = math.inf
+        self._out.pop(name)
+        self._set_allowance(name, health.allowance)
+
+    def _set_allowance(self, name: str, allowance: int) -> None:
+        state = self._registry.states.get(name)
+        if state is not None:
+            state.allowance = allowance
+            self._registry.update(state)
+
+    def _may_take_out(self, name: str) -> bool:
+        return all(
+            self._leaves_enough(pool) for pool in self._registry.pools_of(name)
+        )
+
+    def _leaves_enough(self, pool: UpstreamPool) -> bool:
+        available = [
+            member for member, state in pool.members.items() if state.available
+        ]
+        out = 1 + sum(member in self._out for member in available)
+        return out <= len(available) * LARGEST_EJECTED_SHARE
+
+
+def _count_serving(pool: UpstreamPool) -> int:
+    """Returns the members that get tasks, as far as they need counting."""
+    serving = (
+        state
+        for state in pool.members.values()
+        if state.available and state.allowance > 0
+    )
+    return sum(1 for _ in islice(serving, NEEDED_PEERS))
--- a/packages/core/cactushead_core/scheduling/scheduler.py
+++ b/packages/core/cactushead_core/scheduling/scheduler.py
@@ -1,5 +1,6 @@
 """The leader's scheduler: waiting tasks, upstreams and limits."""
 
+import math
 from collections.abc import Callable
 
 from ..agents.model import OutcomeStatus, TaskOutcome, UpstreamSpec
@@ -7,16 +8,20 @@
 from ..jobs.model import JobId, JobRequest, Refusal, RefusalReason
 from . import admission
 from .bookings import Bookings
-from .model import PlacedTask, QueuedTask
+from .health import HealthMonitor
+from .model import PlacedTask, QueuedTask, UpstreamState
+from .notices import SchedulerNotice
 from .order import TaskOrder
 from .placement import PlacementPolicy
 from .registry import UpstreamRegistry
 from .reservation import Reservations
+from .restarts import restart_is_allowed
 from .service import ServiceLoad
 from .turn import PlacementTurn
 
 # A new leader has heard of every living agent by then.
 SETTLE_S = 1.0
+FAULTS = frozenset((OutcomeStatus.FAILED, OutcomeStatus.UNKNOWN))
 
 
 class Scheduler:
@@ -54,6 +59,7 @@
         self._placement = placement
         self._registry = UpstreamRegistry(placement.prefer, queue_depth)
         self._bookings = Bookings(make_order(), self._registry)
+        self._health = HealthMonitor(self._registry)
         self._reservations = Reservations(self._registry.update)
         self._first_s: float | None = None
         self._now_s = 0.0
@@ -84,6 +90,7 @@
             load.running = self._bookings.count_running(document.service)
             self._bookings.loads[document.service] = load
         load.apply_document(document, pool, now_s)
+        self._health.keep_kinds(document.service, load.kinds)
         self._registry.keep_pools(
             {load.document.upstreams for load in self._bookings.loads.values()},
         )
@@ -103,7 +110,12 @@
             now_s: The leader's monotonic clock.
         """
         self._observe_time(now_s)
-        self._registry.announce(spec, available=available, now_s=now_s)
+        state = self._registry.announce(
+            spec,
+            available=available,
+            now_s=now_s,
+        )
+        self._health.apply(state)
 
     def set_unavailable(self, upstream: str, now_s: float) -> None:
         """Notes that an upstream may not be given tasks for now.
@@ -130,6 +142,7 @@
         for task_id in tuple(state.tasks):
             self._bookings.release(state, task_id)
         self._registry.remove(state, self._now_s)
+        self._health.forget_upstream(upstream)
 
     def find_refusal(
         self,
@@ -202,6 +215,7 @@
             The placements, in the order of the decisions.
         """
         self._observe_time(now_s)
+        self._health.advance(now_s)
         turn = PlacementTurn(
             self._bookings,
             self._placement,
@@ -229,7 +243,29 @@
             return
         task = self._bookings.release(state, outcome.task_id)
         if task is not None:
-            self._learn(task, outcome)
+            self._learn(task, outcome, state)
+
+    def may_restart(
+        self,
+        task: QueuedTask,
+        outcome: TaskOutcome,
+        now_s: float,
+    ) -> bool:
+        """Decides on another start after a failure, and counts it.
+
+        Args:
+            task: The task as it was started.
+            outcome: How that start ended.
+            now_s: The leader's monotonic clock.
+
+        Returns:
+            Whether the task may be queued for its next start.
+        """
+        load = self._bookings.loads[task.job.service]
+        kind = load.kinds.get(task.kind)
+        if kind is None or not restart_is_allowed(kind, task, outcome, now_s):
+            return False
+        return load.restarts.take(now_s)
 
     def task_returned(self, upstream: str, task_id: str) -> None:
         """Frees the slot of a task that never started.
@@ -245,6 +281,26 @@
         if task is not None and task.job.service in self._bookings.loads:
             self._bookings.loads[task.job.service].tokens.add(1)
 
+    def drain_notices(self) -> list[SchedulerNotice]:
+        """Returns the notices since the last call, for the log."""
+        return self._health.drain_notices()
+
+    def next_wakeup_s(self, now_s: float) -> float | None:
+        """Returns when `place` may decide otherwise without any event.
+
+        Args:
+            now_s: The leader's monotonic clock.
+
+        Returns:
+            A time on the leader's clock, or None when only events matter.
+        """
+        times = [self._health.next_change_s]
+        for load in self._bookings.loads.values():
+            if load.waiting and not load.tokens.is_open:
+                times.append(load.tokens.ready_s())
+        wakeup_s = min(times)
+        return max(now_s, wakeup_s) if wakeup_s < math.inf else None
+
     def check_invariants(self) -> None:
         """Checks the counts against each other; scans all.
 
@@ -258,9 +314,25 @@
         if self._first_s is None:
             self._first_s = now_s
 
-    def _learn(self, task: QueuedTask, outcome: TaskOutcome) -> None:
-        load = self._bookings.loads.get(task.job.service)
-        if load is not None and outcome.status is OutcomeStatus.SUCCEEDED:
-            estimate = load.estimates.get(task.kind)
-            if estimate is not None:
-                estimate.observe(outcome.run_s)
+    def _learn(
+        self,
+        task: QueuedTask,
+        outcome: TaskOutcome,
+        state: UpstreamState,
+    ) -> None:
+        service = task.job.service
+        load = self._bookings.loads.get(service)
+        if load is None or task.kind not in load.estimates:
+            return
+        status = outcome.status
+        succeeded = status is OutcomeStatus.SUCCEEDED
+        if succeeded:
+            load.estimates[task.kind].observe(outcome.run_s)
+        if succeeded or status in FAULTS:
+            kind = (service, task.kind)
+            self._health.record(
+                state,
+                kind,
+                self._now_s,
+                failed=not succeeded,
+            )
--- a/packages/core/cactushead_core/scheduling/service.py
+++ b/packages/core/cactushead_core/scheduling/service.py
@@ -7,6 +7,7 @@
 from .model import QueuedTask
 from .pool import UpstreamPool
 from .rates import DrainRate, TokenBucket
+from .restarts import RestartBudget
 
 SHORTEST_RETRY_S = 0.1
 LONGEST_RETRY_S = 60.0
@@ -25,6 +26,7 @@
         waiting_by_caller: Tasks that wait, by caller.
         tokens: Limit on the rate of starts.
         drained: Observed rate at which its queue drains.
+        restarts: Budget of restarts.
         kinds: Request kinds of the document, by name.
         estimates: Run times of the request kinds, by name.
     """
@@ -36,6 +38,7 @@
     waiting_by_caller: dict[str, int] = field(default_factory=dict)
     tokens: TokenBucket = field(default_factory=TokenBucket)
     drained: DrainRate = field(default_factory=DrainRate)
+    restarts: RestartBudget = field(default_factory=RestartBudget)
     kinds: dict[str, RequestKind] = field(default_factory=dict)
     estimates: dict[str, RunTimeEstimate] = field(default_factory=dict)
 
--- /dev/null
+++ b/packages/core/cactushead_core/scheduling/tests/test_health.py
@@ -0,0 +1,212 @@
+"""Tests of ejection, probation and the restart budget."""
+
+import pytest
+from cactushead_core.agents import OutcomeStatus
+from cactushead_core.documents import RequestKind
+from cactushead_core.scheduling import (
+    FairOrder,
+    RandomPlacement,
+    Scheduler,
+    SpreadPlacement,
+    UpstreamEjected,
+    UpstreamReadmitted,
+)
+
+from .builders import document, outcome, spec, task
+from .replay import consortium, pickers, replay
+
+FAILED = OutcomeStatus.FAILED
+
+
+class Ward:
+    """Replays load while some upstreams fail, and notes what was seen."""
+
+    def __init__(self, failing, *, run_s=0.005, share=1.0, until_s=1e9):
+        self.failing, self.run_s = failing, run_s
+        self.share, self.until_s = share, until_s
+        self.failed, self.ejections, self.readmitted = {}, {}, []
+        self.started = {}
+        self.scheduler = Scheduler(FairOrder, SpreadPlacement())
+
+    def run(self, placed, run_s):
+        name, at = placed.upstream, placed.task
+        lot = (int(at.job.key) * 31 + at.index * 7) % 100
+        if name in self.failing and lot < 100 * self.share:
+            return self.run_s, FAILED
+        return run_s, OutcomeStatus.SUCCEEDED
+
+    def replay(self, arrivals):
+        end = self.scheduler.task_ended
+        self.scheduler.task_ended = lambda *args: self.note(end, *args)
+        replay(self.scheduler, arrivals, run=self.run)
+        return self
+
+    def note(self, end, name, ended, now_s):
+        if ended.status is FAILED and name not in self.ejections:
+            self.failed[name] = self.failed.get(name, 0) + 1
+        end(name, ended, now_s)
+        for notice in self.scheduler.drain_notices():
+            if isinstance(notice, UpstreamEjected):
+                self.ejections.setdefault(notice.upstream, []).append(now_s)
+            else:
+                self.readmitted.append(notice.upstream)
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+@pytest.mark.parametrize('run_s', [0.005, 0.2])
+@pytest.mark.parametrize('failing', [('u3',), ('u0', 'u1', 'u2')])
+def test_upstreams_that_fail_all_are_ejected_within_ten(failing, run_s, seed):
+    ward = Ward(failing, run_s=run_s).replay(pickers(seed, jobs=120))
+    assert set(ward.ejections) == set(failing)
+    assert max(ward.failed.values()) <= 10
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_ejections_grow_rarer(seed):
+    ward = Ward(('u3',)).replay(consortium(seed, flood=True, seconds=60))
+    times_s = ward.ejections['u3']
+    assert 3 <= len(times_s) <= 5
+    gaps_s = [b - a for a, b in zip(times_s, times_s[1:], strict=False)]
+    assert all(b > 1.8 * a for a, b in zip(gaps_s, gaps_s[1:], strict=False))
+
+
+@pytest.mark.parametrize('share', [0.3, 0.5])
+def test_upstream_that_fails_often_is_ejected(share):
+    arrivals = consortium(1, flood=True, seconds=10)
+    ward = Ward(('u3',), run_s=0.2, share=share).replay(arrivals)
+    assert set(ward.ejections) == {'u3'}
+
+
+@pytest.mark.parametrize('share', [0.02, 0.3, 1.0])
+@pytest.mark.parametrize('run_s', [0.005, 0.2])
+def test_failures_everywhere_eject_nobody(share, run_s):
+    everywhere = tuple(f'u{index}' for index in range(11))
+    ward = Ward(everywhere, run_s=run_s, share=share)
+    ward.replay(pickers(2, jobs=150))
+    assert not ward.ejections
+
+
+def test_at_most_half_is_ejected():
+    failing = tuple(f'u{index}' for index in range(8))
+    ward = Ward(failing, run_s=0.2).replay(pickers(2, jobs=100))
+    assert len(ward.ejections) <= 5
+
+
+def test_sole_upstream_is_never_ejected():
+    scheduler = make(1)
+    for index in range(50):
+        fail(scheduler, 'u0', index)
+        assert len(place_one(scheduler, index)) == 1
+    assert scheduler.drain_notices() == []
+
+
+def test_probation_doubles_with_each_success():
+    scheduler = make(4)
+    for index in range(8):
+        succeed(scheduler, f'u{1 + index % 3}', f'ok{index}', 0.1)
+    for index in range(10):
+        fail(scheduler, 'u0', index)
+    for index in range(3):
+        succeed(scheduler, f'u{1 + index}', f'later{index}', 0.3)
+    (ejected,) = scheduler.drain_notices()
+    assert ejected.upstream == 'u0'
+    assert 'failed 10 of 10' in ejected.cause
+    assert scheduler.next_wakeup_s(0.5) == ejected.until_s
+    assert placed_on(scheduler, 'u0', 1.0) == 0
+    assert placed_on(scheduler, 'u0', ejected.until_s) == 1
+    assert scheduler.drain_notices() == [UpstreamReadmitted('u0')]
+    for allowed in (2, 4, 8):
+        succeed(scheduler, 'u0', f'probe{allowed}', ejected.until_s)
+        assert scheduler._registry.states['u0'].allowance >= allowed
+    assert placed_on(scheduler, 'u0', ejected.until_s) > 1
+
+
+@pytest.mark.parametrize(
+    'status', [OutcomeStatus.CANCELLED, OutcomeStatus.REFUSED]
+)
+def test_outcomes_that_are_no_fault_do_not_count(status):
+    scheduler = make(4)
+    for index in range(40):
+        fail(scheduler, 'u0', index, status)
+        succeed(scheduler, f'u{1 + index % 3}', f'ok{index}', 0.1)
+    assert scheduler.drain_notices() == []
+
+
+@pytest.mark.parametrize(
+    ('kind', 'start', 'status', 'now_s', 'allowed'),
+    [
+        (RequestKind('k', repeatable=True, max_starts=2), 1, FAILED, 1, True),
+        (RequestKind('k', repeatable=True, max_starts=2), 2, FAILED, 1, False),
+        (RequestKind('k', repeatable=True, max_starts=2), 1, FAILED, 60, False),
+        (RequestKind('k', repeatable=True), 1, FAILED, 1, False),
+        (RequestKind('k', max_starts=2), 1, FAILED, 1, False),
+        *(
+            (RequestKind('k', repeatable=True, max_starts=2), 1, no, 1, False)
+            for no in OutcomeStatus
+            if no is not FAILED
+        ),
+    ],
+)
+def test_restart_rules(kind, start, status, now_s, allowed):
+    scheduler = make(1, kinds=(kind,))
+    failed = task('j', start=start)
+    ended = outcome(failed, status)
+    assert scheduler.may_restart(failed, ended, float(now_s)) is allowed
+
+
+def test_restart_budget():
+    kind = RequestKind('k', repeatable=True, max_starts=5)
+    scheduler = make(11, kinds=(kind,))
+    for index in range(80):
+        scheduler.enqueue(task('j', index))
+    assert len(scheduler.place(0.0)) == 80
+    failed = task('j', 0)
+    allowed = [
+        scheduler.may_restart(failed, outcome(failed, FAILED), 1.0)
+        for _ in range(40)
+    ]
+    assert sum(allowed) == 8
+    allowed = [
+        scheduler.may_restart(failed, outcome(failed, FAILED), 30.0)
+        for _ in range(40)
+    ]
+    assert sum(allowed) == 3
+
+
+def make(upstreams, **fields):
+    scheduler = Scheduler(FairOrder, RandomPlacement(1))
+    scheduler.set_document(document(**fields), 0.0)
+    for index in range(upstreams):
+        scheduler.set_upstream(spec(f'u{index}'), available=True, now_s=0.0)
+    return scheduler
+
+
+def succeed(scheduler, name, key, now_s):
+    ended = task(key)
+    scheduler.occupy(ended, name)
+    scheduler.task_ended(name, outcome(ended), now_s)
+
+
+def fail(scheduler, name, index, status=FAILED):
+    ended = task('bad', index)
+    scheduler.occupy(ended, name)
+    scheduler.task_ended(name, outcome(ended, status), 0.2)
+
+
+def place_one(scheduler, index):
+    scheduler.enqueue(task('one', index))
+    placed = scheduler.place(0.2)
+    for at in placed:
+        scheduler.task_returned(at.upstream, at.task.task_id)
+    return placed
+
+
+def placed_on(scheduler, name, now_s):
+    key = f'fill{now_s}'
+    for index in range(60):
+        scheduler.enqueue(task(key, index))
+    placed = scheduler.place(now_s)
+    scheduler.cancel_job(task(key).job)
+    for at in placed:
+        scheduler.task_returned(at.upstream, at.task.task_id)
+    return sum(at.upstream == name for at in placed)
--- a/packages/core/cactushead_core/scheduling/turn.py
+++ b/packages/core/cactushead_core/scheduling/turn.py
@@ -124,4 +124,6 @@
             service = placement.task.job.service
             counts[service] = counts.get(service, 0) + 1
         for service, tasks in counts.items():
-            self._loads[service].drained.add(tasks, self._now_s)
+            load = self._loads[service]
+            load.drained.add(tasks, self._now_s)
+            load.restarts.note_starts(tasks, self._now_s)
