--- a/packages/core/cactushead_core/scheduling/fair.py
+++ b/packages/core/cactushead_core/scheduling/fair.py
@@ -114,8 +114,9 @@
         turn = self._turn
         while turn:
             rank, name, team = turn[0]
-            current = self._team_rank(team)
-            if current != rank:
+            share = team.share
+            if share.served_s != rank[1] and len(turn) > 1:
+                current = (share.round, share.served_s)
                 heapq.heapreplace(turn, (current, name, team))
                 continue
             lane = self._next_lane(team)
@@ -226,9 +227,6 @@
         if not lane.ticket or lane.top() is batch:
             lane.queue.push(lane)
 
-    def _team_rank(self, team: _Team) -> Rank:
-        return (team.share.round, team.share.served_s)
-
     def _open_teams(
         self,
         services: set[str],
@@ -243,7 +241,8 @@
                 if service in services
             ]
             if team.open_queues:
-                turn.append((self._team_rank(team), name, team))
+                rank = (team.share.round, team.share.served_s)
+                turn.append((rank, name, team))
         heapq.heapify(turn)
         return turn
 
--- a/packages/core/cactushead_core/scheduling/lanes.py
+++ b/packages/core/cactushead_core/scheduling/lanes.py
@@ -180,11 +180,12 @@
             if ticket != lane.ticket:
                 heapq.heappop(entries)
                 continue
-            if lane.top() is None:
+            batch = lane.top()
+            if batch is None:
                 heapq.heappop(entries)
                 lane.ticket = 0
                 continue
-            current = lane.rank
+            current = (lane.share.round, batch.job.rank_s)
             if current == rank:
                 return lane
             heapq.heapreplace(entries, (current, ticket, lane))
--- a/packages/core/cactushead_core/scheduling/model.py
+++ b/packages/core/cactushead_core/scheduling/model.py
@@ -111,6 +111,8 @@
         reserved: Whether it is kept free for a task that fits nowhere else.
         cores_booked: Declared cores of its tasks.
         memory_booked_mb: Declared memory of its tasks.
+        room: Tasks that may be added now, those that wait at the agent too,
+            as of the last `refresh`.
     """
 
     spec: UpstreamSpec
@@ -121,19 +123,20 @@
     reserved: bool = False
     cores_booked: float = 0.0
     memory_booked_mb: float = 0.0
+    room: int = 0
 
     @property
     def free_slots(self) -> int:
         """Slots that nothing occupies."""
         return self.spec.slots - len(self.tasks)
 
-    @property
-    def room(self) -> int:
-        """Tasks that may be added now, those that wait at the agent too."""
+    def refresh(self) -> None:
+        """Counts the room anew after any other field changed."""
         if self.reserved or not self.available:
-            return 0
+            self.room = 0
+            return
         most = min(self.spec.slots + self.queue_depth, self.allowance)
-        return max(0, most - len(self.tasks))
+        self.room = max(0, most - len(self.tasks))
 
     @property
     def size(self) -> WorkerSize:
--- a/packages/core/cactushead_core/scheduling/pool.py
+++ b/packages/core/cactushead_core/scheduling/pool.py
@@ -58,7 +58,7 @@
     @property
     def has_room(self) -> bool:
         """Whether any upstream may be given a task."""
-        return self._highest > 0
+        return self.room > 0
 
     def add(self, state: UpstreamState) -> None:
         """Adds an upstream.
@@ -104,18 +104,14 @@
         """
         name = state.spec.name
         room = state.room
-        self.room += room - self._rooms[name]
-        self._rooms[name] = room
-        place = self._prefer(state) if room > 0 else 0
-        if place == self._places[name]:
-            return
-        self._buckets[self._places[name]].pop(name)
-        while len(self._buckets) <= place:
-            self._buckets.append({})
-        self._buckets[place][name] = state
-        self._places[name] = place
-        self._highest = max(self._highest, place)
-        self._lower_highest()
+        change = room - self._rooms[name]
+        if change:
+            self.room += change
+            self._rooms[name] = room
+        place = self._prefer(state) if room else 0
+        former = self._places[name]
+        if place != former:
+            self._move(state, former, place)
 
     def buckets(self) -> Iterator[dict[str, UpstreamState]]:
         """Yields the upstreams with room, the most preferred bucket first."""
@@ -148,3 +144,16 @@
     def _lower_highest(self) -> None:
         while self._highest > 0 and not self._buckets[self._highest]:
             self._highest -= 1
+
+    def _move(self, state: UpstreamState, former: int, place: int) -> None:
+        name = state.spec.name
+        buckets = self._buckets
+        buckets[former].pop(name)
+        while len(buckets) <= place:
+            buckets.append({})
+        buckets[place][name] = state
+        self._places[name] = place
+        if place > self._highest:
+            self._highest = place
+        elif former == self._highest and not buckets[former]:
+            self._lower_highest()
--- a/packages/core/cactushead_core/scheduling/rates.py
+++ b/packages/core/cactushead_core/scheduling/rates.py
@@ -55,7 +55,8 @@
         Args:
             starts: Number of starts.
         """
-        self.tokens = min(self.burst, self.tokens + starts)
+        if self.rate_per_s > 0:
+            self.tokens = min(self.burst, self.tokens + starts)
 
     def ready_s(self) -> float:
         """Returns when the next start is allowed, infinity for no limit."""
--- a/packages/core/cactushead_core/scheduling/registry.py
+++ b/packages/core/cactushead_core/scheduling/registry.py
@@ -114,6 +114,7 @@
         Args:
             state: The upstream.
         """
+        state.refresh()
         for pool in self._memberships.get(state.spec.name, ()):
             pool.update(state)
 
@@ -128,6 +129,8 @@
             for pool in self._memberships[name]:
                 assert pool.members[name] is state, f'{name} is another'
         for pool in self._pools.values():
+            for each in pool.members.values():
+                each.refresh()
             room = sum(member.room for member in pool.members.values())
             assert pool.room == room, f'{pool.selector} has room {room}'
 
--- a/packages/core/cactushead_core/scheduling/shares.py
+++ b/packages/core/cactushead_core/scheduling/shares.py
@@ -27,22 +27,19 @@
         held: Slots that its tasks occupy.
         waiting: Its tasks that wait.
         served_s: Virtual time.
+        round: Round in which its next task starts; the lowest is next.
     """
 
     held: int = 0
     waiting: int = 0
     served_s: float = 0.0
+    round: int = 0
 
     @property
     def is_idle(self) -> bool:
         """Whether nothing runs or waits."""
         return self.held == 0 and self.waiting == 0
 
-    @property
-    def round(self) -> int:
-        """Round in which its next task starts; the lowest is next."""
-        return int(self.served_s // QUANTUM_S)
-
     def note_waiting(self, floor_s: float) -> None:
         """Counts a task that begins to wait.
 
@@ -51,6 +48,7 @@
         """
         if self.waiting == 0:
             self.served_s = max(self.served_s, floor_s)
+            self.round = int(self.served_s // QUANTUM_S)
         self.waiting += 1
 
     def note_started(self, estimate_s: float) -> None:
@@ -62,3 +60,4 @@
         self.waiting -= 1
         self.held += 1
         self.served_s += estimate_s
+        self.round = int(self.served_s // QUANTUM_S)
