Let settings choose the scheduler's policies and report ejections

The leader uses fair order and spread placement; first come first served, first fit and random placement stay as baselines behind the same base classes and are chosen by settings, so that one build can be measured against them. Restarts after known failures go through the scheduler's budget.

--- a/packages/core/cactushead_core/config.py
+++ b/packages/core/cactushead_core/config.py
@@ -1,6 +1,7 @@
 """Configuration of the decisions, made by the shell from its settings."""
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +44,36 @@
     agent_records: int = 20_000
 
 
+class OrderName(StrEnum):
+    """Orders of waiting tasks; the second is a baseline."""
+
+    FAIR = 'fair'
+    ARRIVAL = 'arrival'
+
+
+class PlacementName(StrEnum):
+    """Choices of the upstream; the last two are baselines."""
+
+    SPREAD = 'spread'
+    FIRST_FIT = 'first_fit'
+    RANDOM = 'random'
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """Which of the scheduler's policies a leader uses.
+
+    Attributes:
+        order: Order of waiting tasks.
+        placement: Choice of the upstream.
+        queue_depth: Tasks that may wait at an agent beyond its slots.
+    """
+
+    order: OrderName = OrderName.FAIR
+    placement: PlacementName = PlacementName.SPREAD
+    queue_depth: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class EntryConfig:
     """Configuration of an entry.
@@ -59,6 +90,7 @@
             synced majority.
         timing: Durations.
         bounds: Table sizes.
+        policy: Policies of the scheduler.
         seed: Seed of jitter.
     """
 
@@ -71,6 +103,7 @@
     synced_admission: bool = False
     timing: Timing = field(default_factory=Timing)
     bounds: Bounds = field(default_factory=Bounds)
+    policy: Policy = field(default_factory=Policy)
     seed: int = 0
 
 
--- a/packages/core/cactushead_core/entry/leader.py
+++ b/packages/core/cactushead_core/entry/leader.py
@@ -8,12 +8,12 @@
     SubmitDocument,
 )
 from ..documents.model import ServiceDocument, ServiceState, StopRemainder
-from ..effects import Effect
+from ..effects import Effect, EventKind, Record
 from ..events import Peer
 from ..jobs.messages import CancelJob, QueryJob, SubmitJob
 from ..messages.base import Message
 from ..replication import Replica
-from ..scheduling import Scheduler
+from ..scheduling import Scheduler, UpstreamEjected
 from .agents import AgentRegistry
 from .context import LeaderContext
 from .documents import DocumentManager
@@ -119,6 +119,7 @@
         self._jobs.tick(now_s)
         self._documents.tick(now_s)
         self._stop_services(now_s)
+        self._report_notices()
 
     def flush(self, now_s: float) -> None:
         """Places tasks and proposes the records of the turn.
@@ -237,6 +238,22 @@
         for outcome in message.outcomes:
             self._jobs.outcomes.outcome(view, outcome, now_s)
 
+    def _report_notices(self) -> None:
+        for notice in self._context.scheduler.drain_notices():
+            kind = EventKind.UPSTREAM_READMITTED
+            detail = ''
+            if isinstance(notice, UpstreamEjected):
+                kind = EventKind.UPSTREAM_EJECTED
+                detail = notice.cause
+            self._context.effects.append(
+                Record(
+                    kind,
+                    subject=notice.upstream,
+                    detail=detail,
+                    logged=True,
+                ),
+            )
+
     def _stop_services(self, now_s: float) -> None:
         for document in self._context.state.documents.values():
             if not _cancels_remainder(document):
--- a/packages/core/cactushead_core/entry/node.py
+++ b/packages/core/cactushead_core/entry/node.py
@@ -55,9 +55,9 @@
     SnapshotWanted,
     StoredLog,
 )
-from ..scheduling import ArrivalOrder, FirstFitPlacement, Scheduler
 from .gateway import Gateway
 from .leader import Leader
+from .policy import make_scheduler
 from .state import ReplicatedState, StateInvariantError, StateSnapshot
 
 _ANSWERS = (
@@ -72,11 +72,6 @@
 _REQUESTS = (SubmitJob, QueryJob, CancelJob, SubmitDocument, QueryDocuments)
 
 
-def make_scheduler() -> Scheduler:
-    """Returns the scheduler of a new leader."""
-    return Scheduler(ArrivalOrder, FirstFitPlacement())
-
-
 class EntryNode(Node):
     """An entry; with a disk also a voter, and the leader when elected."""
 
@@ -242,7 +237,7 @@
             self.config,
             self._replica,
             self.state,
-            make_scheduler(),
+            make_scheduler(self.config),
             now_s,
         )
         effects.append(
--- a/packages/core/cactushead_core/entry/outcomes.py
+++ b/packages/core/cactushead_core/entry/outcomes.py
@@ -1,6 +1,6 @@
 """Outcomes and reports of agents."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..agents.messages import StartReport
 from ..agents.model import (
@@ -201,10 +201,12 @@
         outcome: TaskOutcome,
         now_s: float,
     ) -> bool:
-        if not job.kind.repeatable:
-            return False
         failures = job.tasks[outcome.index].failures
-        return failures < job.kind.max_starts
+        if not job.kind.repeatable or failures >= job.kind.max_starts:
+            return False
+        waiting = queued_task(self._context, job, outcome.index, now_s)
+        started = replace(waiting, start=outcome.start)
+        return self._context.scheduler.may_restart(started, outcome, now_s)
 
     def _free_slot(
         self,
--- /dev/null
+++ b/packages/core/cactushead_core/entry/policy.py
@@ -0,0 +1,35 @@
+"""Makes the scheduler of a new leader from its configuration."""
+
+from ..config import EntryConfig, OrderName, PlacementName
+from ..scheduling import (
+    ArrivalOrder,
+    FairOrder,
+    FirstFitPlacement,
+    PlacementPolicy,
+    RandomPlacement,
+    Scheduler,
+    SpreadPlacement,
+)
+
+
+def make_scheduler(config: EntryConfig) -> Scheduler:
+    """Returns an empty scheduler with the configured policies.
+
+    Args:
+        config: Configuration of the entry.
+    """
+    fair = config.policy.order is OrderName.FAIR
+    return Scheduler(
+        FairOrder if fair else ArrivalOrder,
+        _make_placement(config),
+        queue_depth=config.policy.queue_depth,
+    )
+
+
+def _make_placement(config: EntryConfig) -> PlacementPolicy:
+    match config.policy.placement:
+        case PlacementName.FIRST_FIT:
+            return FirstFitPlacement()
+        case PlacementName.RANDOM:
+            return RandomPlacement(config.seed)
+    return SpreadPlacement(config.data_centre)
--- a/packages/node/cactushead_node/composition/entry.py
+++ b/packages/node/cactushead_node/composition/entry.py
@@ -224,6 +224,7 @@
         synced_admission=settings.synced_admission,
         timing=settings.timing,
         bounds=settings.bounds,
+        policy=settings.policy,
         seed=zlib.crc32(incarnation.encode()),
     )
 
--- a/packages/node/cactushead_node/settings/model.py
+++ b/packages/node/cactushead_node/settings/model.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 
 from cactushead_core.agents.model import UpstreamSpec
-from cactushead_core.config import Bounds, Timing
+from cactushead_core.config import Bounds, Policy, Timing
 from cactushead_core.documents.model import Label
 
 
@@ -81,6 +81,7 @@
             majority.
         timing: Durations.
         bounds: Table sizes.
+        policy: Policies of the scheduler.
         log: What is logged.
     """
 
@@ -94,6 +95,7 @@
     synced_admission: bool = False
     timing: Timing = field(default_factory=Timing)
     bounds: Bounds = field(default_factory=Bounds)
+    policy: Policy = field(default_factory=Policy)
     log: LogSettings = field(default_factory=LogSettings)
 
     @property
--- a/packages/node/cactushead_node/settings/parse.py
+++ b/packages/node/cactushead_node/settings/parse.py
@@ -9,7 +9,13 @@
 
 import ipaddress
 
-from cactushead_core.config import Bounds, Timing
+from cactushead_core.config import (
+    Bounds,
+    OrderName,
+    PlacementName,
+    Policy,
+    Timing,
+)
 from cactushead_core.documents.model import Label
 from cactushead_core.errors import SettingsError
 from cactushead_core.validation import FieldReader, load_json
@@ -34,6 +40,7 @@
 LONGEST_DURATION_S = 86_400.0
 HIGHEST_BOUND = 1e9
 HIGHEST_VOTERS = 7
+HIGHEST_DEPTH = 8
 LOG_LEVELS = ('debug', 'info', 'warning', 'error')
 
 _DEFAULT_UPSTREAM = UpstreamSettings('', 0)
@@ -88,6 +95,7 @@
         synced_admission=reader.flag('synced_admission', default=False),
         timing=_read_timing(reader),
         bounds=reader.positive_fields('bounds', Bounds, HIGHEST_BOUND),
+        policy=_read_policy(reader),
         log=_read_log(reader),
     )
     _check_voter(reader, settings)
@@ -225,6 +233,30 @@
     return timing
 
 
+def _read_policy(reader: FieldReader) -> Policy:
+    section = reader.section('policy', required=False)
+    orders = tuple(order.value for order in OrderName)
+    placements = tuple(placement.value for placement in PlacementName)
+    policy = Policy(
+        OrderName(section.choice('order', orders, OrderName.FAIR.value)),
+        PlacementName(
+            section.choice(
+                'placement',
+                placements,
+                PlacementName.SPREAD.value,
+            ),
+        ),
+        section.integer(
+            'queue_depth',
+            lowest=0,
+            highest=HIGHEST_DEPTH,
+            default=0,
+        ),
+    )
+    section.close()
+    return policy
+
+
 def _read_log(reader: FieldReader) -> LogSettings:
     section = reader.section('log', required=False)
     forms = tuple(form.value for form in LogForm)
