--- a/packages/node/cactushead_node/runner.py
+++ b/packages/node/cactushead_node/runner.py
@@ -7,12 +7,15 @@
 from typing import Protocol
 
 import trio
+from cactushead_core.errors import CactusheadError
 
 from .observability import set_up_logs
 from .settings import LogSettings
 
 EXIT_FAILED = 1
 
+_FAULTS_OUTSIDE = (OSError, CactusheadError)
+
 _log = logging.getLogger('cactushead.main')
 
 
@@ -41,11 +44,31 @@
     _set_up_log(log, log_file)
     try:
         trio.run(_run_until_stopped, process)
-    except Exception:
-        _log.exception('main: the process failed')
+    except Exception as error:
+        _report(error)
         sys.exit(EXIT_FAILED)
 
 
+def _report(error: Exception) -> None:
+    """Logs why the process failed.
+
+    Explanation:
+        What the machine causes, such as a port that is taken, is one line;
+        a fault of the program is shown with its place.
+    """
+    causes = _leaves(error)
+    for cause in causes:
+        _log.error('main: %s', cause)
+    if not all(isinstance(leaf, _FAULTS_OUTSIDE) for leaf in causes):
+        _log.error('main: the process failed', exc_info=error)
+
+
+def _leaves(error: BaseException) -> list[BaseException]:
+    if not isinstance(error, BaseExceptionGroup):
+        return [error]
+    return [leaf for one in error.exceptions for leaf in _leaves(one)]
+
+
 async def _run_until_stopped(process: Process) -> None:
     stop = trio.Event()
     async with trio.open_nursery() as nursery:
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -24,7 +24,7 @@
 )
 from cluster_layout import ClusterLayout, ProcessPlan
 
-READY_TIMEOUT_S = 30.0
+READY_TIMEOUT_S = 60.0
 IDLE_TIMEOUT_S = 10.0
 STOP_TIMEOUT_S = 60.0
 POLL_S = 0.05
