--- a/packages/core/cactushead_core/replication/tests/test_replica.py
+++ b/packages/core/cactushead_core/replication/tests/test_replica.py
@@ -29,6 +29,8 @@
     AppendEntries,
     AppendReply,
     Member,
+    MembershipQuery,
+    MembershipReport,
     VoteReply,
     VoteRequest,
 )
@@ -354,6 +356,120 @@
     assert leader.noticed(LeaderReady)
 
 
+def test_learner_is_promoted_once_it_has_synced():
+    members = (*VOTERS[:2], Member('c', 'c1', votes=False))
+    entries = (FORMATION, LogEntry(1, 2, encode_members(members)))
+    leader = Harness(stored=StoredLog(term=1, entries=entries))
+    leader.lead()
+    leader.feed(LogSynced, 2, 3)
+    leader.acknowledge('b', 3, 3)
+    leader.acknowledge('c', 3, 2)
+    leader.feed(Tick)
+    assert leader.replica.last_index == 3
+    leader.acknowledge('c', 3, 3)
+    leader.feed(Tick)
+    assert leader.replica.last_index == 4
+
+
+def test_one_membership_change_at_a_time():
+    leader = Harness()
+    leader.lead()
+    leader.feed(LogSynced, 2, 2)
+    leader.acknowledge('c', 2, 2)
+    leader.now_s += 0.5
+    leader.acknowledge('c', 2, 2)
+    leader.now_s += 0.2
+    leader.receive('b', MembershipQuery('b', 'b2', ('a', 'b', 'c'), 'q'))
+    leader.feed(Tick)
+    assert leader.replica.last_index == 3
+    leader.acknowledge('b', 3, 3, incarnation='b2')
+    leader.feed(Tick)
+    assert leader.replica.last_index == 3
+    leader.acknowledge('c', 3, 3)
+    leader.feed(LogSynced, 2, 3)
+    leader.feed(Tick)
+    assert leader.replica.last_index == 4
+
+
+def test_new_leader_changes_nothing_before_its_own_entry_is_committed():
+    leader = Harness()
+    leader.lead()
+    leader.now_s += 0.5
+    leader.acknowledge('c', 2, 0)
+    leader.now_s += 0.2
+    leader.receive('b', MembershipQuery('b', 'b2', ('a', 'b', 'c'), 'q'))
+    leader.feed(Tick)
+    assert leader.replica.last_index == 2
+
+
+def empty_disk(name):
+    replica = Harness(name, StoredLog())
+    query = replica.sent(replica.feed(Tick), MembershipQuery)[0]
+    return replica, query.query_id
+
+
+def report_empty(replica, name, query_id, incarnation=None):
+    disk = incarnation or f'{name}1'
+    report = MembershipReport(name, disk, query_id, b'', ())
+    replica.receive(name, report)
+
+
+def answer_first_question():
+    former, query_id = empty_disk('a')
+    for name in 'bc':
+        report_empty(former, name, query_id)
+    assert former.replica.last_index == 0
+    query, _ = former.sent(former.feed(Tick), MembershipQuery)
+    assert query.query_id != query_id
+    return former, query.query_id
+
+
+def test_cell_is_formed_after_two_questions():
+    former, query_id = answer_first_question()
+    for name in 'bc':
+        report_empty(former, name, query_id)
+    assert former.replica.last_index == 1
+
+
+def test_cell_is_not_formed_around_a_disk_that_changed():
+    former, query_id = answer_first_question()
+    report_empty(former, 'b', query_id)
+    report_empty(former, 'c', query_id, 'c2')
+    assert former.replica.last_index == 0
+
+
+def test_only_the_first_voter_forms_a_cell():
+    other, query_id = empty_disk('b')
+    for _ in range(3):
+        for name in 'ac':
+            report_empty(other, name, query_id)
+    assert other.replica.last_index == 0
+
+
+def test_answering_the_first_voter_voids_own_questions():
+    voter, query_id = empty_disk('b')
+    voter.receive('a', MembershipQuery('a', 'a2', ('a', 'b', 'c'), 'q'))
+    formed = MembershipReport('c', 'c1', query_id, FORMATION.command, VOTERS)
+    voter.receive('c', formed)
+    assert voter.replica.last_index == 0
+
+
+def test_voter_adopts_the_formed_cell():
+    voter, query_id = empty_disk('b')
+    formed = MembershipReport('c', 'c1', query_id, FORMATION.command, VOTERS)
+    voter.receive('c', formed)
+    assert voter.replica.last_index == 1
+
+
+def test_late_word_of_an_older_vote_does_not_count():
+    candidate = Harness()
+    for term in (2, 3):
+        candidate.now_s += LATE_S
+        candidate.feed(Tick)
+        candidate.receive('b', VoteReply(term, 'b', 'b1', True, True))
+    assert candidate.feed(VoteSaved, 2, 'a') == []
+
+
 def test_quorum_counts_from_the_time_of_sending():
     leader = Harness()
     leader.lead()
