Offer the next task of the same batch without ranking all lanes anew

A batch whose remaining work just shrank is next again until its caller's round of a second is over, with a single team and service in the turn.

--- a/packages/core/cactushead_core/scheduling/bookings.py
+++ b/packages/core/cactushead_core/scheduling/bookings.py
@@ -49,10 +49,12 @@
             load: Its service.
             state: The upstream that it goes to.
         """
-        assert load.may_start, f'{task.task_id} breaks a limit'
+        limit = load.document.limits.concurrent_tasks
+        assert load.running < limit, f'{task.task_id} breaks {limit}'
         self.order.take(task, load.estimate_s(task.kind))
         load.note_unqueued(task)
-        load.tokens.add(-1)
+        if load.tokens.rate_per_s > 0:
+            load.tokens.add(-1)
         self._book(task, state)
 
     def occupy(self, task: QueuedTask, state: UpstreamState) -> None:
--- a/packages/core/cactushead_core/scheduling/evidence.py
+++ b/packages/core/cactushead_core/scheduling/evidence.py
@@ -157,7 +157,10 @@
             now_s: The leader's monotonic clock.
             failed: Whether the task failed.
         """
-        shares = self._kinds.setdefault(kind, {})
+        shares = self._kinds.get(kind)
+        if shares is None:
+            shares = {}
+            self._kinds[kind] = shares
         share = shares.get(upstream)
         if share is None:
             share = RecentShare()
--- a/packages/core/cactushead_core/scheduling/fair.py
+++ b/packages/core/cactushead_core/scheduling/fair.py
@@ -76,6 +76,8 @@
         self._parked: deque[Batch] = deque()
         self._turn: list[tuple[Rank, str, _Team]] = []
         self._offer: Batch | None = None
+        self._taken: Batch | None = None
+        self._taken_round = 0
 
     def occupy(self, task: QueuedTask) -> None:
         """Counts a running task in its team's and caller's share."""
@@ -108,24 +110,15 @@
         self._unranked.clear()
         self._turn = self._open_teams(set(services))
         self._offer = None
+        self._taken = None
 
     def peek(self) -> QueuedTask | None:
         """Returns the task whose turn it is."""
-        turn = self._turn
-        while turn:
-            rank, name, team = turn[0]
-            share = team.share
-            if share.served_s != rank[1] and len(turn) > 1:
-                current = (share.round, share.served_s)
-                heapq.heapreplace(turn, (current, name, team))
-                continue
-            lane = self._next_lane(team)
-            if lane is not None:
-                self._offer = lane.top()
-                return self._offer.tasks[0]
-            heapq.heappop(turn)
-        self._offer = None
-        return None
+        batch = self._next_of_same_batch()
+        if batch is None:
+            batch = self._next_batch()
+        self._offer = batch
+        return None if batch is None else batch.tasks[0]
 
     def skip(self) -> None:
         """Parks the offered task and those like it."""
@@ -148,6 +141,7 @@
 
     def close(self, service: str) -> None:
         """Offers no more tasks of a service in this turn."""
+        self._offer = None
         for _, _, team in self._turn:
             queue = team.queues.get(service)
             if queue in team.open_queues:
@@ -170,18 +164,19 @@
         batch.tasks.append(task)
 
     def _take(self, task: QueuedTask, estimate_s: float) -> None:
-        offer = self._offer
-        if offer is not None and offer.tasks[0] is task:
+        batch = self._offer
+        if batch is not None and batch.tasks[0] is task:
             self._offer = None
-            self._remove(offer, task)
-            offer.job.lane.note_taken(offer)
-            job = offer.job
+            self._remove(batch, task)
+            batch.job.lane.note_taken(batch)
+            self._taken = batch
         else:
-            job = self._jobs[task.job]
-            self._remove(job.batch(task), task)
-        job.estimate_s = estimate_s
+            batch = self._jobs[task.job].batch(task)
+            self._remove(batch, task)
+        batch.job.estimate_s = estimate_s
         team = self._teams[task.team]
-        share = job.lane.share
+        share = batch.job.lane.share
+        self._taken_round = share.round
         self._floor_s = team.share.served_s
         team.floor_s = share.served_s
         team.share.note_started(estimate_s)
@@ -203,6 +198,36 @@
             team.drop_idle(task.caller, share)
         return removed
 
+    def _next_of_same_batch(self) -> Batch | None:
+        """Returns the batch that was taken from last if it is next again.
+
+        Its remaining work has shrunk, so with a single team and service it
+        is next until its caller's round is over.
+        """
+        batch = self._taken
+        self._taken = None
+        if batch is None or not batch.tasks or len(self._turn) != 1:
+            return None
+        if len(self._turn[0][2].open_queues) != 1:
+            return None
+        same_round = batch.job.lane.share.round == self._taken_round
+        return batch if same_round else None
+
+    def _next_batch(self) -> Batch | None:
+        turn = self._turn
+        while turn:
+            rank, name, team = turn[0]
+            share = team.share
+            if share.served_s != rank[1] and len(turn) > 1:
+                current = (share.round, share.served_s)
+                heapq.heapreplace(turn, (current, name, team))
+                continue
+            lane = self._next_lane(team)
+            if lane is not None:
+                return lane.top()
+            heapq.heappop(turn)
+        return None
+
     def _remove(self, batch: Batch, task: QueuedTask) -> None:
         if batch.tasks[0] is task:
             batch.tasks.popleft()
--- a/packages/core/cactushead_core/scheduling/model.py
+++ b/packages/core/cactushead_core/scheduling/model.py
@@ -165,8 +165,10 @@
             task: The task.
         """
         self.tasks[task.task_id] = task
-        self.cores_booked += clean_size(task.cores)
-        self.memory_booked_mb += clean_size(task.memory_mb)
+        if task.cores:
+            self.cores_booked += clean_size(task.cores)
+        if task.memory_mb:
+            self.memory_booked_mb += clean_size(task.memory_mb)
 
     def release(self, task_id: str) -> QueuedTask | None:
         """Frees the slot and the declared size of a task.
@@ -180,8 +182,10 @@
         task = self.tasks.pop(task_id, None)
         if task is None:
             return None
-        self.cores_booked -= clean_size(task.cores)
-        self.memory_booked_mb -= clean_size(task.memory_mb)
+        if task.cores:
+            self.cores_booked -= clean_size(task.cores)
+        if task.memory_mb:
+            self.memory_booked_mb -= clean_size(task.memory_mb)
         if not self.tasks:
             self.cores_booked = 0.0
             self.memory_booked_mb = 0.0
--- a/packages/core/cactushead_core/scheduling/pool.py
+++ b/packages/core/cactushead_core/scheduling/pool.py
@@ -55,11 +55,6 @@
         self._sizes: dict[WorkerSize, int] = {}
         self._departed: dict[WorkerSize, float] = {}
 
-    @property
-    def has_room(self) -> bool:
-        """Whether any upstream may be given a task."""
-        return self.room > 0
-
     def add(self, state: UpstreamState) -> None:
         """Adds an upstream.
 
--- a/packages/core/cactushead_core/scheduling/rates.py
+++ b/packages/core/cactushead_core/scheduling/rates.py
@@ -55,8 +55,7 @@
         Args:
             starts: Number of starts.
         """
-        if self.rate_per_s > 0:
-            self.tokens = min(self.burst, self.tokens + starts)
+        self.tokens = min(self.burst, self.tokens + starts)
 
     def ready_s(self) -> float:
         """Returns when the next start is allowed, infinity for no limit."""
--- a/packages/core/cactushead_core/scheduling/service.py
+++ b/packages/core/cactushead_core/scheduling/service.py
@@ -46,9 +46,9 @@
     def may_start(self) -> bool:
         """Whether limits and slots allow one more start now."""
         return (
-            self.pool.has_room
+            self.pool.room > 0
             and self.running < self.document.limits.concurrent_tasks
-            and self.tokens.is_open
+            and (self.tokens.rate_per_s <= 0 or self.tokens.tokens >= 1)
         )
 
     def apply_document(
