--- a/packages/cli/cactushead_cli/bench/cluster.py
+++ b/packages/cli/cactushead_cli/bench/cluster.py
@@ -14,13 +14,10 @@
     EntryError,
     Fields,
     HttpCall,
-    TimelineQuery,
     Transport,
     UsageError,
 )
 
-LEADER_EVENT = 'leader elected'
-
 
 @dataclass(frozen=True, slots=True)
 class ClusterProcess:
@@ -119,28 +116,27 @@
     cluster: Cluster,
     transport: Transport,
 ) -> ClusterProcess:
-    """Returns the entry that leads, by the time line's last election.
+    """Returns the entry that says of itself that it leads.
 
     Args:
         cluster: The cluster.
         transport: Carries the requests.
 
     Raises:
-        UsageError: If the time line shows no election.
+        UsageError: If no entry does.
     """
-    entries = cluster.of_role('entry')
-    client = Client(transport, [entry.url for entry in entries])
+    for entry in cluster.of_role('entry'):
+        if await _leads(entry, transport):
+            return entry
+    raise UsageError('no entry of the cluster leads')
+
+
+async def _leads(entry: ClusterProcess, transport: Transport) -> bool:
     try:
-        events = await client.timeline(TimelineQuery())
-    except ClientError as error:
-        raise UsageError(f"can't find the leader: {error}") from error
-    by_name = {entry.name: entry for entry in entries}
-    elected = [event for event in events if event.text('kind') == LEADER_EVENT]
-    for event in reversed(elected):
-        for name in (event.text('subject'), event.text('process')):
-            if name in by_name:
-                return by_name[name]
-    raise UsageError('the time line shows no election of a leader')
+        metrics = await Client(transport, (entry.url,)).metrics()
+    except ClientError:
+        return False
+    return metrics.child('state').whole('leads') == 1
 
 
 async def find_busy_agent(
--- a/packages/cli/cactushead_cli/bench/tests/test_faults.py
+++ b/packages/cli/cactushead_cli/bench/tests/test_faults.py
@@ -9,7 +9,7 @@
 from cactushead_cli.bench.cluster import Cluster, find_leader, read_cluster
 from cactushead_cli.bench.faults import FAULTS, FaultPlan, find_fault
 from cactushead_cli.bench.shapes import LoadSpec
-from cactushead_cli.client import HttpReply, UsageError
+from cactushead_cli.client import EntryUnreachableError, HttpReply, UsageError
 from cactushead_cli.client.tests.fakes import ScriptedTransport
 
 LISTED = [
@@ -19,12 +19,8 @@
     {'role': 'agent', 'name': 'u1', 'pid': 21, 'url': ''},
     {'role': 'upstream', 'name': 'u1', 'pid': 31, 'url': 'http://c'},
 ]
-ELECTIONS = b'\n'.join(
-    (
-        b'{"kind": "leader elected", "process": "e1", "subject": "e1"}',
-        b'{"kind": "leader elected", "process": "e1", "subject": "e2"}',
-    )
-)
+FOLLOWER = HttpReply(200, b'{"state": {"leads": 0}}')
+LEADER = HttpReply(200, b'{"state": {"leads": 1}}')
 
 
 class RecordedCluster(Cluster):
@@ -77,7 +73,8 @@
 )
 def test_fault_acts_on_the_right_process(cluster, name, done):
     transport = ScriptedTransport(
-        a=[HttpReply(200, ELECTIONS)],
+        a=[FOLLOWER],
+        b=[LEADER],
         c=[HttpReply(200, b'{"running": 3}')],
     )
     notes = []
@@ -87,13 +84,14 @@
     assert notes
 
 
-def test_leader_is_the_last_one_elected(cluster):
-    transport = ScriptedTransport(a=[HttpReply(200, ELECTIONS)])
+def test_leader_is_found_beside_a_dead_entry(cluster):
+    dead = EntryUnreachableError('http://a', 'refused')
+    transport = ScriptedTransport(a=[dead], b=[LEADER])
     assert trio.run(find_leader, cluster, transport).name == 'e2'
 
 
-def test_unknown_leader_is_bad_use(cluster):
-    transport = ScriptedTransport(a=[HttpReply(200, b'')])
+def test_no_leader_is_bad_use(cluster):
+    transport = ScriptedTransport(a=[FOLLOWER], b=[FOLLOWER])
     with pytest.raises(UsageError):
         trio.run(find_leader, cluster, transport)
 
--- a/packages/cli/cactushead_cli/commands/root.py
+++ b/packages/cli/cactushead_cli/commands/root.py
@@ -20,7 +20,6 @@
 from .settings import SettingsCommands
 from .views import show_metrics, show_timeline
 
-FLAG_OPTIONS = ('json', 'no_wait')
 NUMBER_OPTIONS = ('deadline_s', 'cores', 'memory_mb', 'since_s', 'until_s')
 
 
