--- a/packages/core/cactushead_core/replication/tests/test_replica.py
+++ b/packages/core/cactushead_core/replication/tests/test_replica.py
@@ -392,7 +392,8 @@
 
 
 def test_new_leader_changes_nothing_before_its_own_entry_is_committed():
-    leader = Harness()
+    stored = StoredLog(1, '', 1, 1, FORMATION.command, b'state')
+    leader = Harness(stored=stored)
     leader.lead()
     leader.now_s += 0.5
     leader.acknowledge('c', 2, 0)
@@ -443,6 +444,9 @@
     for _ in range(3):
         for name in 'ac':
             report_empty(other, name, query_id)
+        other.now_s += 1
+        query, _ = other.sent(other.feed(Tick), MembershipQuery)
+        query_id = query.query_id
     assert other.replica.last_index == 0
 
 
@@ -512,6 +516,14 @@
     assert [entry.index for entry in committed.entries] == [1]
 
 
+def test_follower_vouches_only_for_what_the_leader_has():
+    entries = (FORMATION, LogEntry(1, 2, b'unknown to b'))
+    follower = Harness(stored=StoredLog(term=1, entries=entries))
+    effects = follower.receive('b', append(3, (1, 1)))
+    (reply,) = follower.sent(effects, AppendReply)
+    assert (reply.match_index, reply.synced_index) == (1, 1)
+
+
 def test_conflicting_tail_is_replaced():
     entries = (FORMATION, LogEntry(1, 2, b'old'), LogEntry(1, 3, b'old'))
     follower = Harness(stored=StoredLog(term=1, entries=entries))
