Let disks lag in the randomised runs

Runs that synced all disks at the end of each round left few unsynced entries for a crash to lose. A disk may now sync one write a round or none, until the faults recover.

--- a/packages/core/cactushead_core/replication/tests/cell.py
+++ b/packages/core/cactushead_core/replication/tests/cell.py
@@ -107,6 +107,7 @@
     replica: Replica | None = None
     incarnation: str = ''
     frozen: bool = False
+    sync_limit: int | None = None
     applied: int = 0
     digest: int = 0
     ready_term: int = 0
@@ -372,7 +373,7 @@
             self.deliver_all()
             for process in self.running():
                 if process.disk.queue:
-                    self.sync(process.name)
+                    self.sync(process.name, process.sync_limit)
 
     def deliver_all(self):
         """Delivers the present messages in order; answers stay."""
@@ -403,6 +404,7 @@
         self.cuts.clear()
         for name in self.names:
             self.processes[name].frozen = False
+            self.processes[name].sync_limit = None
             self.start(name)
         self.run(60)
         leader = self.run_until_ready()
--- a/packages/core/cactushead_core/replication/tests/faults.py
+++ b/packages/core/cactushead_core/replication/tests/faults.py
@@ -28,6 +28,8 @@
             self.crash,
             self.restart,
             self.lose_disk,
+            self.slow_disk,
+            self.slow_disk,
             *[self.recover] * 4,
         )
 
@@ -111,11 +113,15 @@
     def restart(self):
         self.cell.start(self.name())
 
+    def slow_disk(self):
+        self.cell.processes[self.name()].sync_limit = self.choose(2)
+
     def recover(self):
         self.uncut()
         self.thaw()
         for name in self.cell.names:
             self.cell.start(name)
+            self.cell.processes[name].sync_limit = None
         self.cell.run(self.choose(24))
 
     def lose_disk(self):
