Refuse a data folder without its log, and sync the folder's own name

A folder whose name is not synced in its parent can vanish in a power loss, with entries that were acknowledged as synced.

pytest packages/node/cactushead_node/storage: 23 passed.

--- a/packages/node/cactushead_node/storage/files.py
+++ b/packages/node/cactushead_node/storage/files.py
@@ -19,7 +19,12 @@
 from .delayed import DelayedStorage
 from .log_file import LogFile, entries_behind
 from .records import make_salt
-from .replaced import FILE_MODE, read_replaced, write_replaced
+from .replaced import (
+    FILE_MODE,
+    make_folder,
+    read_replaced,
+    write_replaced,
+)
 from .storage import Storage
 
 IDENTITY_SALT = 0
@@ -59,7 +64,7 @@
         return self._incarnation
 
     def _open(self) -> None:
-        self._folder.mkdir(parents=True, exist_ok=True)
+        make_folder(self._folder)
         self._lock = _lock_folder(self._folder)
         try:
             self._open_files()
@@ -186,11 +191,16 @@
 def _read_identity(folder: Path) -> str:
     path = folder / IDENTITY_NAME
     fields = read_replaced(path, IDENTITY_SALT)
+    found = [
+        name for name in (VOTE_NAME, SNAPSHOT_NAME) if (folder / name).exists()
+    ]
+    has_log = (folder / LOG_NAME).exists()
+    if found and not has_log:
+        raise StorageError(f'{folder} has a {found[0]} file but no log')
     if fields:
         return str(fields[0])
-    for name in (LOG_NAME, VOTE_NAME, SNAPSHOT_NAME):
-        if (folder / name).exists():
-            raise StorageError(f'{folder} has a {name} file but no identity')
+    if has_log:
+        raise StorageError(f'{folder} has a log but no identity')
     incarnation = uuid.uuid4().hex
     write_replaced(path, [incarnation], IDENTITY_SALT)
     return incarnation
--- a/packages/node/cactushead_node/storage/replaced.py
+++ b/packages/node/cactushead_node/storage/replaced.py
@@ -39,6 +39,18 @@
     sync_folder(path.parent)
 
 
+def make_folder(folder: Path) -> None:
+    """Makes a folder and its parents, and syncs their names.
+
+    Args:
+        folder: The folder.
+    """
+    missing = [path for path in (folder, *folder.parents) if not path.exists()]
+    folder.mkdir(parents=True, exist_ok=True)
+    for path in missing:
+        sync_folder(path.parent)
+
+
 def sync_folder(folder: Path) -> None:
     """Syncs the names in a folder."""
     descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
--- a/packages/node/cactushead_node/storage/tests/test_files.py
+++ b/packages/node/cactushead_node/storage/tests/test_files.py
@@ -222,6 +222,22 @@
         open_storage(tmp_path)
 
 
+@pytest.mark.parametrize('kept', ['vote', 'snapshot'])
+def test_lost_log_is_refused(tmp_path, kept):
+    effects = [SaveVote(1, 'a')] if kept == 'vote' else [SNAPSHOT]
+    write(tmp_path, effects)
+    (tmp_path / 'log').unlink()
+    with pytest.raises(StorageError, match='no log'):
+        open_storage(tmp_path)
+
+
+def test_new_folder_is_synced_in_its_parents(tmp_path, monkeypatch):
+    synced = []
+    monkeypatch.setattr(replaced, 'sync_folder', synced.append)
+    replaced.make_folder(tmp_path / 'a' / 'b')
+    assert synced == [tmp_path / 'a', tmp_path]
+
+
 def test_memory_storage_agrees_with_the_files(tmp_path):
     memory = MemoryStorage()
     batches = [
