Place tasks under the document in force, not that of their admission

Cause: an assignment named the version that its job was admitted under, and agents refuse versions older than they hold. After a change of the document a waiting job was refused by every agent until its deadline. Ruled out: the lowered limit itself; the refusals named the version. Found by test_document_change_while_jobs_wait; before: failed, after: passes.

Adds the fault cases of the agent's reducer and of the whole cell as tables.

--- a/packages/core/cactushead_core/entry/placing.py
+++ b/packages/core/cactushead_core/entry/placing.py
@@ -189,13 +189,14 @@
         task.may_have_run = True
         ref = TaskRef(job.job, placement.index, placement.start)
         view.tasks[ref.task_id] = ref
+        document = self._context.state.documents[job.job.service]
         self._assignments.setdefault(view.name, []).append(
             Assignment(
                 job.job,
                 placement.index,
                 placement.start,
                 job.kind.name,
-                job.document_version,
+                document.version,
                 job.kind.timeout_s,
                 job.request.tasks[placement.index].input_json,
             ),
--- /dev/null
+++ b/packages/core/cactushead_core/entry/tests/test_faults.py
@@ -0,0 +1,293 @@
+"""Fault cases that break naive versions, one test each."""
+
+import dataclasses
+
+import pytest
+
+from cactushead_core.effects import AnswerResponse, DocumentResponse
+from cactushead_core.entry.tests.cluster import (
+    Cluster,
+    sample_document,
+    sample_request,
+)
+from cactushead_core.events import (
+    DocumentSubmitted,
+    JobCancelRequested,
+    JobSubmitted,
+    MessageReceived,
+    TurnEnded,
+)
+from cactushead_core.jobs import Attempt, JobState
+from cactushead_core.jobs.messages import (
+    JobAnswered,
+    JobRefused,
+    SubmitJob,
+    TermMismatch,
+)
+
+KINDS = ('echo', 'book')
+
+
+@pytest.fixture
+def cluster():
+    cluster = Cluster(entries=4, voters=3, agents=3, slots=2)
+    assert cluster.run_until(lambda: cluster.leaders)
+    cluster.ask('e3', DocumentSubmitted, sample_document())
+    cluster.run(2.0)
+    return cluster
+
+
+def submit(cluster, key, tasks=3, kind='book', entry='e3'):
+    request = sample_request(key, tasks, kind)
+    return cluster.ask(entry, JobSubmitted, request, True)
+
+
+def answer(cluster, asked):
+    assert cluster.run_until(lambda: asked in cluster.responses)
+    return cluster.responses[asked]
+
+
+def set_run_time(cluster, run_s):
+    for process in cluster.processes.values():
+        if process.upstream:
+            process.upstream.run_s = run_s
+
+
+def started_once(cluster):
+    return set(cluster.starts.values()) <= {1}
+
+
+@pytest.mark.parametrize('kind', KINDS)
+@pytest.mark.parametrize('after_s', [0.0, 0.01, 0.02, 0.03, 0.1, 0.5])
+def test_leader_dies_around_admission(cluster, kind, after_s):
+    set_run_time(cluster, 0.5)
+    asked = submit(cluster, 'k', 8, kind)
+    cluster.run(after_s)
+    cluster.crash(cluster.leaders[0])
+    response = answer(cluster, asked)
+    assert isinstance(response, AnswerResponse)
+    assert response.answer.state is JobState.COMPLETE
+    assert started_once(cluster)
+
+
+@pytest.mark.parametrize('kind', KINDS)
+def test_all_voters_restart_at_once(cluster, kind):
+    set_run_time(cluster, 1.0)
+    asked = submit(cluster, 'k', 8, kind)
+    cluster.run(0.3)
+    for name in cluster.voters:
+        cluster.crash(name)
+    for name in cluster.voters:
+        cluster.start(name)
+    response = answer(cluster, asked)
+    assert response.answer.state is JobState.COMPLETE
+    assert started_once(cluster)
+
+
+def test_all_processes_restart_at_once(cluster):
+    set_run_time(cluster, 1.0)
+    submit(cluster, 'k', 8)
+    cluster.run(0.3)
+    for name in cluster.processes:
+        cluster.crash(name)
+    for name in cluster.processes:
+        cluster.start(name)
+    cluster.run(5.0)
+    response = answer(cluster, submit(cluster, 'k', 8))
+    assert response.answer.state is JobState.FAILED
+    later = answer(cluster, submit(cluster, 'later'))
+    assert later.answer.state is JobState.COMPLETE
+    assert started_once(cluster)
+
+
+def test_frozen_leader_decides_nothing_when_it_wakes(cluster):
+    leader = cluster.leaders[0]
+    set_run_time(cluster, 0.3)
+    asked = submit(cluster, 'k', 4)
+    cluster.run(0.02)
+    cluster.processes[leader].frozen = True
+    # Its links break after a while, as with TCP.
+    cluster.run(2.0)
+    for other in list(cluster.processes):
+        if other != leader:
+            cluster.cut(leader, other)
+    response = answer(cluster, asked)
+    cluster.processes[leader].frozen = False
+    cluster.heal()
+    cluster.run(5.0)
+    assert response.answer.state is JobState.COMPLETE
+    assert started_once(cluster)
+
+
+def test_frozen_agent_starts_nothing_when_it_wakes(cluster):
+    set_run_time(cluster, 0.2)
+    cluster.processes['a0'].frozen = True
+    asked = submit(cluster, 'k', 6)
+    cluster.run(20.0)
+    cluster.processes['a0'].frozen = False
+    cluster.run(5.0)
+    assert asked in cluster.responses
+    assert not cluster.processes['a0'].upstream.starts
+    assert started_once(cluster)
+
+
+def test_leader_cut_off_from_voters_stops_granting(cluster):
+    leader = cluster.leaders[0]
+    for voter in cluster.voters:
+        if voter != leader:
+            cluster.cut(leader, voter)
+    cluster.run(3.0)
+    assert cluster.leaders != [leader]
+    response = answer(cluster, submit(cluster, 'k'))
+    assert response.answer.state is JobState.COMPLETE
+    assert started_once(cluster)
+
+
+def test_cancel_crosses_an_assignment(cluster):
+    asked = submit(cluster, 'k', 2)
+    job = sample_request('k').job
+    for _ in range(5):
+        cluster.run(0.01)
+        cluster.ask('e3', JobCancelRequested, job)
+    response = answer(cluster, asked)
+    cluster.run(5.0)
+    ran = any(task.startswith('sample/k/') for task in cluster.starts)
+    assert response.answer.not_run is not ran
+
+
+def test_racing_operators_exactly_one_wins(cluster):
+    ours = sample_document(2)
+    theirs = dataclasses.replace(ours, digest=b'theirs')
+    asked = [
+        cluster.ask(entry, DocumentSubmitted, document)
+        for entry, document in (('e0', ours), ('e3', theirs))
+    ]
+    responses = [answer(cluster, request_id) for request_id in asked]
+    won = [r for r in responses if isinstance(r, DocumentResponse)]
+    assert len(won) == 1
+
+
+def test_document_resent_after_a_lost_answer(cluster):
+    leader = cluster.leaders[0]
+    document = sample_document(2)
+    cluster.ask(leader, DocumentSubmitted, document)
+    cluster.run(0.3)
+    cluster.crash(leader)
+    asked = cluster.ask('e3', DocumentSubmitted, document)
+    response = answer(cluster, asked)
+    assert isinstance(response, DocumentResponse)
+    assert response.version == 2
+
+
+def test_voter_cut_off_for_long_never_reverts(cluster):
+    follower = next(v for v in cluster.voters if v not in cluster.leaders)
+    for other in cluster.processes:
+        if other != follower:
+            cluster.cut(follower, other)
+    for version in range(2, 6):
+        cluster.ask('e3', DocumentSubmitted, sample_document(version))
+        cluster.run(1.0)
+    cluster.heal()
+    cluster.run(3.0)
+    state = cluster.processes[follower].node.state
+    assert state.documents['sample'].version == 5
+
+
+def test_restarted_voter_catches_up_after_many_changes(cluster):
+    follower = next(v for v in cluster.voters if v not in cluster.leaders)
+    cluster.crash(follower)
+    for version in range(2, 400):
+        cluster.ask('e3', DocumentSubmitted, sample_document(version))
+        cluster.run(0.02)
+    cluster.start(follower)
+    cluster.run(5.0)
+    state = cluster.processes[follower].node.state
+    assert state.documents['sample'].version == 399
+
+
+@pytest.mark.parametrize('kind', KINDS)
+def test_second_voter_lost_after_a_repair(cluster, kind):
+    first = answer(cluster, submit(cluster, 'k', kind=kind))
+    leader = cluster.leaders[0]
+    one, two = [v for v in cluster.voters if v != leader]
+    cluster.crash(one)
+    cluster.lose_disk(one)
+    cluster.start(one)
+    cluster.run(10.0)
+    cluster.crash(two)
+    cluster.lose_disk(two)
+    cluster.run(3.0)
+    again = answer(cluster, submit(cluster, 'k', kind=kind))
+    assert again == first
+    assert started_once(cluster)
+
+
+def receive(node, sender, message, now_s):
+    effects = node.reduce(MessageReceived(now_s, sender, message))
+    return effects + node.reduce(TurnEnded(now_s))
+
+
+def sent(effects, message_type):
+    return [
+        effect.message
+        for effect in effects
+        if isinstance(getattr(effect, 'message', None), message_type)
+    ]
+
+
+def late_submission(cluster, term, sequence=99, **changes):
+    request = sample_request('late', **changes)
+    attempt = Attempt('e3', 'e3-1', sequence)
+    return SubmitJob(attempt, term, request, 0.0, wait=True)
+
+
+def test_late_copy_for_an_earlier_term_starts_nothing(cluster):
+    process = cluster.processes[cluster.leaders[0]]
+    sender = cluster.processes['e3'].peer
+    message = late_submission(cluster, process.node.leader.term - 1)
+    now_s = cluster.clock(process)
+    effects = receive(process.node, sender, message, now_s)
+    assert sent(effects, TermMismatch)
+    cluster.run(2.0)
+    assert not cluster.starts
+
+
+def test_late_copy_of_a_refused_request_stays_refused(cluster):
+    # The sender was told that the request was not run.
+    process = cluster.processes[cluster.leaders[0]]
+    sender = cluster.processes['e3'].peer
+    term = process.node.leader.term
+    too_many = late_submission(cluster, term, tasks=20_000)
+    now_s = cluster.clock(process)
+    first = receive(process.node, sender, too_many, now_s)
+    assert sent(first, JobRefused)[0].refusal.not_run
+    raised = sample_document(2, job_tasks=30_000, queue_tasks=30_000)
+    answer(cluster, cluster.ask('e3', DocumentSubmitted, raised))
+    now_s = cluster.clock(process)
+    again = receive(process.node, sender, too_many, now_s)
+    assert sent(again, JobRefused)
+    cluster.run(1.0)
+    assert not cluster.starts
+
+
+def test_copy_older_than_the_window_is_not_said_to_be_unrun(cluster):
+    process = cluster.processes[cluster.leaders[0]]
+    sender = cluster.processes['e3'].peer
+    message = late_submission(cluster, process.node.leader.term)
+    message = dataclasses.replace(message, age_s=1e6)
+    now_s = cluster.clock(process)
+    effects = receive(process.node, sender, message, now_s)
+    assert not sent(effects, JobRefused)[0].refusal.not_run
+    assert not sent(effects, JobAnswered)
+
+
+def test_document_change_while_jobs_wait(cluster):
+    set_run_time(cluster, 1.0)
+    asked = [submit(cluster, f'k{index}', 4) for index in range(4)]
+    cluster.run(0.2)
+    stricter = sample_document(2, concurrent_tasks=1)
+    cluster.ask('e3', DocumentSubmitted, stricter)
+    cluster.run(30.0)
+    states = {cluster.responses[a].answer.state for a in asked}
+    assert states == {JobState.COMPLETE}
+    assert started_once(cluster)
