Eject stragglers that run far longer than their peers

Cause: an upstream that runs everything eight times as long keeps getting its part of each job, and a job is as late as its slowest task.

The mean logarithm of run time over the kind's estimate is compared with the median of the peers; above four times, after twelve runs, the upstream is ejected like a failing one.

--- a/packages/core/cactushead_core/scheduling/estimates.py
+++ b/packages/core/cactushead_core/scheduling/estimates.py
@@ -8,6 +8,7 @@
 # One very long run moves the estimate no more than a run of this multiple.
 OUTLIER_FACTOR = 8.0
 TRUSTED_SAMPLES = 5
+SHORTEST_RUN_S = 0.0001
 
 
 @dataclass(slots=True)
@@ -52,3 +53,15 @@
         self.samples += 1
         weight = max(SMALLEST_WEIGHT, 1 / self.samples)
         self.mean_s += weight * (run_s - self.mean_s)
+
+    def slowness(self, run_s: float) -> float:
+        """Returns the logarithm of a run time over the estimate, bounded.
+
+        Args:
+            run_s: How long a task ran; 0 for a value that is no duration.
+        """
+        if not 0 < run_s < math.inf:
+            return 0.0
+        ratio = run_s / max(SHORTEST_RUN_S, self.value_s)
+        bounded = min(OUTLIER_FACTOR, max(1 / OUTLIER_FACTOR, ratio))
+        return math.log(bounded)
--- a/packages/core/cactushead_core/scheduling/evidence.py
+++ b/packages/core/cactushead_core/scheduling/evidence.py
@@ -23,21 +23,28 @@
 COMPARED_PEERS = 16
 NEEDED_PEERS = 5
 STREAK_OUTCOMES = 64
+TRUSTED_RUNS = 12
+SLOWNESS_PEERS = 2
 
 KindKey = tuple[str, str]
 
 
 @dataclass(slots=True)
-class RecentShare:
-    """Recent share of failures of one upstream on one request kind.
+class RecentOutcomes:
+    """Recent outcomes of one upstream on one request kind.
 
     Attributes:
-        failed_share: Exponentially weighted share.
+        failed_share: Exponentially weighted share of failures.
         ended_s: When its last task ended.
+        slowness: Exponentially weighted logarithm of the run time over the
+            estimate for the kind.
+        runs: Successful runs observed.
     """
 
     failed_share: float = 0.0
     ended_s: float = -math.inf
+    slowness: float = 0.0
+    runs: int = 0
 
     def observe(self, now_s: float, *, failed: bool) -> None:
         """Takes one outcome into the share.
@@ -49,6 +56,16 @@
         self.failed_share += RECENT_WEIGHT * (failed - self.failed_share)
         self.ended_s = now_s
 
+    def observe_run(self, slowness: float) -> None:
+        """Takes the duration of one successful run in.
+
+        Args:
+            slowness: Logarithm of the run time over the estimate.
+        """
+        self.runs += 1
+        weight = max(RECENT_WEIGHT, 1 / self.runs)
+        self.slowness += weight * (slowness - self.slowness)
+
 
 @dataclass(slots=True)
 class StreakCounts:
@@ -139,7 +156,7 @@
 
     def __init__(self) -> None:
         """Starts without outcomes."""
-        self._kinds: dict[KindKey, dict[str, RecentShare]] = {}
+        self._kinds: dict[KindKey, dict[str, RecentOutcomes]] = {}
 
     def observe(
         self,
@@ -148,7 +165,7 @@
         now_s: float,
         *,
         failed: bool,
-    ) -> None:
+    ) -> RecentOutcomes:
         """Takes one outcome in.
 
         Args:
@@ -156,6 +173,9 @@
             upstream: Name of the upstream.
             now_s: The leader's monotonic clock.
             failed: Whether the task failed.
+
+        Returns:
+            The upstream's recent outcomes on the kind.
         """
         shares = self._kinds.get(kind)
         if shares is None:
@@ -163,9 +183,10 @@
             self._kinds[kind] = shares
         share = shares.get(upstream)
         if share is None:
-            share = RecentShare()
+            share = RecentOutcomes()
             shares[upstream] = share
         share.observe(now_s, failed=failed)
+        return share
 
     def forget_upstream(self, upstream: str) -> None:
         """Drops what is known of an upstream.
@@ -214,6 +235,26 @@
             verdict.peer_share = max(verdict.peer_share, peer_share)
         return verdict
 
+    def excess_slowness(self, kind: KindKey, upstream: str) -> float:
+        """Returns by how much an upstream is slower than its peers' median.
+
+        Args:
+            kind: Service and request kind.
+            upstream: Name of the upstream.
+
+        Returns:
+            A logarithm, 0 with too few peers to tell.
+        """
+        shares = self._kinds[kind]
+        peers = [
+            share.slowness
+            for name, share in shares.items()
+            if name != upstream and share.runs >= TRUSTED_RUNS
+        ]
+        if len(peers) < SLOWNESS_PEERS:
+            return 0.0
+        return shares[upstream].slowness - median(peers)
+
     def _peer_shares(
         self,
         kind: KindKey,
--- a/packages/core/cactushead_core/scheduling/health.py
+++ b/packages/core/cactushead_core/scheduling/health.py
@@ -20,6 +20,7 @@
 from .evidence import (
     NEEDED_PEERS,
     STREAK_OUTCOMES,
+    TRUSTED_RUNS,
     KindKey,
     PeerEvidence,
     Streak,
@@ -36,6 +37,10 @@
 # One failure while the peers have none.
 PROBATION_SCORE = 3.0
 SUSPECT_S = 1.0
+# Logarithms of run times over estimates: twice as long is worth a look at the
+# peers, four times as long as they is too slow.
+SLOW_HINT = math.log(2)
+SLOW_EXCESS = math.log(4)
 FIRST_EJECTION_S = 5.0
 LONGEST_EJECTION_S = 300.0
 LARGEST_EJECTED_SHARE = 0.5
@@ -168,6 +173,7 @@
         now_s: float,
         *,
         failed: bool,
+        slowness: float = 0.0,
     ) -> None:
         """Takes an outcome in and judges the upstream.
 
@@ -176,12 +182,13 @@
             kind: Service and request kind of the task.
             now_s: The leader's monotonic clock.
             failed: Whether the task failed.
+            slowness: Logarithm of the run time over the estimate.
         """
         name = state.spec.name
         health = self._healths.get(name)
         if health is not None and health.state is HealthState.EJECTED:
             return
-        self._evidence.observe(kind, name, now_s, failed=failed)
+        recent = self._evidence.observe(kind, name, now_s, failed=failed)
         if health is None and failed:
             health = UpstreamHealth()
             self._healths[name] = health
@@ -190,6 +197,10 @@
             self._judge(name, health, now_s)
             if not failed:
                 self._note_success(state, health)
+        if not failed:
+            recent.observe_run(slowness)
+            if recent.runs >= TRUSTED_RUNS and recent.slowness > SLOW_HINT:
+                self._judge_slow(name, kind, now_s)
         if self._out:
             self._review_suspects(now_s)
 
@@ -263,7 +274,7 @@
     ) -> None:
         verdict = self._weigh(name, health, health.streak.began_s)
         if verdict.score >= health.needed_score:
-            self._eject(name, health, verdict, now_s)
+            self._eject_failing(name, health, verdict, now_s)
         elif verdict.decided:
             if health.state is HealthState.SUSPECT:
                 self._resume(name, health)
@@ -273,6 +284,17 @@
             health.state = HealthState.SUSPECT
             self._take_out(name, health, now_s + SUSPECT_S)
 
+    def _judge_slow(self, name: str, kind: KindKey, now_s: float) -> None:
+        excess = self._evidence.excess_slowness(kind, name)
+        if excess < SLOW_EXCESS or not self._may_take_out(name):
+            return
+        health = self._healths.setdefault(name, UpstreamHealth())
+        if not health.is_out:
+            factor = math.exp(excess)
+            cause = f'ran {factor:.1f} times as long as its peers'
+            self._evidence.forget_upstream(name)
+            self._eject(name, health, cause, now_s)
+
     def _review_suspects(self, now_s: float) -> None:
         for name, health in tuple(self._out.items()):
             if health.state is HealthState.SUSPECT:
@@ -286,7 +308,7 @@
         now_s: float,
     ) -> None:
         if verdict.score >= health.needed_score:
-            self._eject(name, health, verdict, now_s)
+            self._eject_failing(name, health, verdict, now_s)
         else:
             self._resume(name, health)
             health.streak = None
@@ -303,20 +325,28 @@
         )
         return self._evidence.weigh(name, health.streak, peers, since_s)
 
-    def _eject(
+    def _eject_failing(
         self,
         name: str,
         health: UpstreamHealth,
         verdict: Verdict,
         now_s: float,
     ) -> None:
-        if not health.is_out and not self._may_take_out(name):
-            return
-        streak = health.streak
-        cause = (
-            f'failed {streak.failed} of {streak.ended} tasks, '
-            f'its peers {verdict.peer_share:.0%}'
-        )
+        if health.is_out or self._may_take_out(name):
+            streak = health.streak
+            cause = (
+                f'failed {streak.failed} of {streak.ended} tasks, '
+                f'its peers {verdict.peer_share:.0%}'
+            )
+            self._eject(name, health, cause, now_s)
+
+    def _eject(
+        self,
+        name: str,
+        health: UpstreamHealth,
+        cause: str,
+        now_s: float,
+    ) -> None:
         health.ejection_s = health.next_ejection_s(now_s)
         health.ejected_s = now_s
         health.state = HealthState.EJECTED
--- a/packages/core/cactushead_core/scheduling/scheduler.py
+++ b/packages/core/cactushead_core/scheduling/scheduler.py
@@ -326,13 +326,16 @@
             return
         status = outcome.status
         succeeded = status is OutcomeStatus.SUCCEEDED
+        slowness = 0.0
         if succeeded:
-            load.estimates[task.kind].observe(outcome.run_s)
+            estimate = load.estimates[task.kind]
+            slowness = estimate.slowness(outcome.run_s)
+            estimate.observe(outcome.run_s)
         if succeeded or status in FAULTS:
-            kind = (service, task.kind)
             self._health.record(
                 state,
-                kind,
+                (service, task.kind),
                 self._now_s,
                 failed=not succeeded,
+                slowness=slowness,
             )
--- a/packages/core/cactushead_core/scheduling/tests/test_health.py
+++ b/packages/core/cactushead_core/scheduling/tests/test_health.py
@@ -21,16 +21,17 @@
 class Ward:
     """Replays load while some upstreams fail, and notes what was seen."""
 
-    def __init__(self, failing, *, run_s=0.005, share=1.0, until_s=1e9):
+    def __init__(self, failing, *, run_s=0.005, share=1.0, slow=()):
         self.failing, self.run_s = failing, run_s
-        self.share, self.until_s = share, until_s
+        self.share, self.slow = share, slow
         self.failed, self.ejections, self.readmitted = {}, {}, []
-        self.started = {}
         self.scheduler = Scheduler(FairOrder, SpreadPlacement())
 
     def run(self, placed, run_s):
         name, at = placed.upstream, placed.task
         lot = (int(at.job.key) * 31 + at.index * 7) % 100
+        if name in self.slow:
+            return 8 * run_s, OutcomeStatus.SUCCEEDED
         if name in self.failing and lot < 100 * self.share:
             return self.run_s, FAILED
         return run_s, OutcomeStatus.SUCCEEDED
@@ -92,6 +93,17 @@
     assert len(ward.ejections) <= 5
 
 
+@pytest.mark.parametrize('seed', [1, 2])
+def test_straggler_is_ejected_and_nobody_else(seed):
+    ward = Ward((), slow=('u3',)).replay(pickers(seed, jobs=150))
+    assert set(ward.ejections) == {'u3'}
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_run_times_of_a_wide_spread_eject_nobody(seed):
+    assert not Ward(()).replay(pickers(seed, jobs=200)).ejections
+
+
 def test_sole_upstream_is_never_ejected():
     scheduler = make(1)
     for index in range(50):
