--- a/packages/core/cactushead_core/scheduling/health.py
+++ b/packages/core/cactushead_core/scheduling/health.py
@@ -13,8 +13,6 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
-from enum import StrEnum
 from itertools import islice
 
 from .evidence import (
@@ -26,85 +24,17 @@
     Streak,
     Verdict,
 )
+from .isolation import HealthState, Isolation, UpstreamHealth
 from .model import UNLIMITED_TASKS, UpstreamState
 from .notices import SchedulerNotice, UpstreamEjected, UpstreamReadmitted
 from .pool import UpstreamPool
 from .registry import UpstreamRegistry
 
-# Three failures in a row while the peers have none, and four.
-SUSPICION_SCORE = 9.0
-EJECTION_SCORE = 12.0
-# One failure while the peers have none.
-PROBATION_SCORE = 3.0
 SUSPECT_S = 1.0
 # Logarithms of run times over estimates: twice as long is worth a look at the
 # peers, four times as long as they is too slow.
 SLOW_HINT = math.log(2)
 SLOW_EXCESS = math.log(4)
-FIRST_EJECTION_S = 5.0
-LONGEST_EJECTION_S = 300.0
-LARGEST_EJECTED_SHARE = 0.5
-# Ejections longer ago than this many times the last one are forgotten.
-FORGET_FACTOR = 10.0
-
-
-class HealthState(StrEnum):
-    """Where an upstream stands."""
-
-    HEALTHY = 'healthy'
-    SUSPECT = 'suspect'
-    EJECTED = 'ejected'
-    PROBATION = 'probation'
-
-
-@dataclass(slots=True)
-class UpstreamHealth:
-    """What is held against an upstream.
-
-    Attributes:
-        state: Where it stands.
-        streak: Outcomes since its first failure, None without one.
-        allowance: Tasks that it may have while it is healthy or on
-            probation.
-        until_s: End of the suspicion or ejection.
-        ejection_s: Duration of the last ejection, 0 for none.
-        ejected_s: When that began.
-    """
-
-    state: HealthState = HealthState.HEALTHY
-    streak: Streak | None = None
-    allowance: int = UNLIMITED_TASKS
-    until_s: float = math.inf
-    ejection_s: float = 0.0
-    ejected_s: float = -math.inf
-
-    @property
-    def is_out(self) -> bool:
-        """Whether it gets no tasks."""
-        return self.state in {HealthState.SUSPECT, HealthState.EJECTED}
-
-    @property
-    def suspicious_score(self) -> float:
-        """Score at which it gets no more work until it is judged."""
-        return min(SUSPICION_SCORE, self.needed_score)
-
-    @property
-    def needed_score(self) -> float:
-        """Score at which it is ejected."""
-        if self.allowance < UNLIMITED_TASKS:
-            return PROBATION_SCORE
-        return EJECTION_SCORE
-
-    def next_ejection_s(self, now_s: float) -> float:
-        """Returns how long an ejection lasts that begins now.
-
-        Args:
-            now_s: The leader's monotonic clock.
-        """
-        since_s = now_s - self.ejected_s
-        if since_s > self.ejection_s * FORGET_FACTOR:
-            return FIRST_EJECTION_S
-        return min(LONGEST_EJECTION_S, 2 * self.ejection_s)
 
 
 class HealthMonitor:
@@ -119,16 +49,13 @@
         self._registry = registry
         self._evidence = PeerEvidence()
         self._healths: dict[str, UpstreamHealth] = {}
-        self._out: dict[str, UpstreamHealth] = {}
+        self._isolation = Isolation(registry)
         self._notices: list[SchedulerNotice] = []
 
     @property
     def next_change_s(self) -> float:
         """When the next suspicion or ejection ends, infinity for none."""
-        return min(
-            (health.until_s for health in self._out.values()),
-            default=math.inf,
-        )
+        return self._isolation.next_change_s
 
     def drain_notices(self) -> list[SchedulerNotice]:
         """Returns the notices since the last call."""
@@ -144,8 +71,7 @@
         """
         health = self._healths.get(state.spec.name)
         if health is not None:
-            state.allowance = 0 if health.is_out else health.allowance
-            self._registry.update(state)
+            self._isolation.apply(state.spec.name, health)
 
     def forget_upstream(self, upstream: str) -> None:
         """Drops the outcomes of an upstream; its ejection stays.
@@ -154,7 +80,7 @@
             upstream: Name of the upstream.
         """
         self._evidence.forget_upstream(upstream)
-        if upstream not in self._out:
+        if upstream not in self._isolation.out:
             self._healths.pop(upstream, None)
 
     def keep_kinds(self, service: str, kinds: Iterable[str]) -> None:
@@ -201,7 +127,7 @@
             recent.observe_run(slowness)
             if recent.runs >= TRUSTED_RUNS and recent.slowness > SLOW_HINT:
                 self._judge_slow(name, kind, now_s)
-        if self._out:
+        if self._isolation.out:
             self._review_suspects(now_s)
 
     def advance(self, now_s: float) -> None:
@@ -210,12 +136,12 @@
         Args:
             now_s: The leader's monotonic clock.
         """
-        for name, health in tuple(self._out.items()):
+        for name, health in tuple(self._isolation.out.items()):
             if now_s < health.until_s:
                 continue
             if health.state is HealthState.EJECTED:
                 health.allowance = 1
-                self._return(name, health, HealthState.PROBATION)
+                self._isolation.bring_back(name, health, HealthState.PROBATION)
                 self._notices.append(UpstreamReadmitted(name))
             else:
                 verdict = self._weigh(name, health, since_s=-math.inf)
@@ -245,8 +171,7 @@
                 health.allowance = UNLIMITED_TASKS
                 health.state = HealthState.HEALTHY
                 health.streak = None
-            state.allowance = health.allowance
-            self._registry.update(state)
+            self._isolation.apply(state.spec.name, health)
 
     def _judge(
         self,
@@ -280,13 +205,14 @@
                 self._resume(name, health)
             if health.streak.ended > STREAK_OUTCOMES:
                 health.streak = None
-        elif not health.is_out and self._may_take_out(name):
-            health.state = HealthState.SUSPECT
-            self._take_out(name, health, now_s + SUSPECT_S)
+        elif not health.is_out and self._isolation.may_take_out(name):
+            until_s = now_s + SUSPECT_S
+            suspect = HealthState.SUSPECT
+            self._isolation.take_out(name, health, suspect, until_s)
 
     def _judge_slow(self, name: str, kind: KindKey, now_s: float) -> None:
         excess = self._evidence.excess_slowness(kind, name)
-        if excess < SLOW_EXCESS or not self._may_take_out(name):
+        if excess < SLOW_EXCESS or not self._isolation.may_take_out(name):
             return
         health = self._healths.setdefault(name, UpstreamHealth())
         if not health.is_out:
@@ -296,7 +222,7 @@
             self._eject(name, health, cause, now_s)
 
     def _review_suspects(self, now_s: float) -> None:
-        for name, health in tuple(self._out.items()):
+        for name, health in tuple(self._isolation.out.items()):
             if health.state is HealthState.SUSPECT:
                 self._judge_bad(name, health, now_s)
 
@@ -332,7 +258,7 @@
         verdict: Verdict,
         now_s: float,
     ) -> None:
-        if health.is_out or self._may_take_out(name):
+        if health.is_out or self._isolation.may_take_out(name):
             streak = health.streak
             cause = (
                 f'failed {streak.failed} of {streak.ended} tasks, '
@@ -349,58 +275,20 @@
     ) -> None:
         health.ejection_s = health.next_ejection_s(now_s)
         health.ejected_s = now_s
-        health.state = HealthState.EJECTED
         health.streak = None
-        self._take_out(name, health, now_s + health.ejection_s)
+        until_s = now_s + health.ejection_s
+        ejected = HealthState.EJECTED
+        self._isolation.take_out(name, health, ejected, until_s)
         self._notices.append(UpstreamEjected(name, cause, health.until_s))
 
     def _resume(self, name: str, health: UpstreamHealth) -> None:
         on_probation = health.allowance < UNLIMITED_TASKS
-        self._return(
+        self._isolation.bring_back(
             name,
             health,
             HealthState.PROBATION if on_probation else HealthState.HEALTHY,
         )
 
-    def _take_out(
-        self,
-        name: str,
-        health: UpstreamHealth,
-        until_s: float,
-    ) -> None:
-        health.until_s = until_s
-        self._out[name] = health
-        self._set_allowance(name, 0)
-
-    def _return(
-        self,
-        name: str,
-        health: UpstreamHealth,
-        state: HealthState,
-    ) -> None:
-        health.state = state
-        health.until_s = math.inf
-        self._out.pop(name)
-        self._set_allowance(name, health.allowance)
-
-    def _set_allowance(self, name: str, allowance: int) -> None:
-        state = self._registry.states.get(name)
-        if state is not None:
-            state.allowance = allowance
-            self._registry.update(state)
-
-    def _may_take_out(self, name: str) -> bool:
-        return all(
-            self._leaves_enough(pool) for pool in self._registry.pools_of(name)
-        )
-
-    def _leaves_enough(self, pool: UpstreamPool) -> bool:
-        available = [
-            member for member, state in pool.members.items() if state.available
-        ]
-        out = 1 + sum(member in self._out for member in available)
-        return out <= len(available) * LARGEST_EJECTED_SHARE
-
 
 def _count_serving(pool: UpstreamPool) -> int:
     """Returns the members that get tasks, as far as they need counting."""
