--- a/packages/core/cactushead_core/scheduling/health.py
+++ b/packages/core/cactushead_core/scheduling/health.py
@@ -7,8 +7,8 @@
     until they have, or a second has passed. Ejection times double. An
     upstream that returns is on probation: one task at first, then twice as
     many with each success; one failure that its peers don't share ejects it
-    again. At most half of the available upstreams of each pool are out at a
-    time.
+    again. Its room is small, so it is tried only when the others are busy. At
+    most half of the available upstreams of each pool are out at a time.
 """
 
 import math
--- a/packages/core/cactushead_core/scheduling/registry.py
+++ b/packages/core/cactushead_core/scheduling/registry.py
@@ -133,6 +133,8 @@
                 each.refresh()
             room = sum(member.room for member in pool.members.values())
             assert pool.room == room, f'{pool.selector} has room {room}'
+            slots = sum(each.spec.slots for each in pool.members.values())
+            assert pool.slots == slots, f'{pool.selector} has {slots} slots'
 
     def _join(self, state: UpstreamState) -> None:
         pools = [
--- a/packages/core/cactushead_core/scheduling/scheduler.py
+++ b/packages/core/cactushead_core/scheduling/scheduler.py
@@ -54,7 +54,9 @@
             make_order: Makes the queue.
             placement: Chooses upstreams.
             queue_depth: Tasks that may wait at an agent beyond its slots,
-                to hide the round trip between two starts.
+                to hide the round trip between two starts. A task that waits
+                there can't be overtaken any more, so 0 is best unless tasks
+                are as short as the round trip.
         """
         self._placement = placement
         self._registry = UpstreamRegistry(placement.prefer, queue_depth)
