--- a/packages/core/cactushead_core/scheduling/pool.py
+++ b/packages/core/cactushead_core/scheduling/pool.py
@@ -136,6 +136,21 @@
             if now_s - departed_s <= SIZE_MEMORY_S
         )
 
+    def check_invariants(self) -> None:
+        """Checks the sums over the members; scans all.
+
+        Raises:
+            AssertionError: A sum doesn't match.
+        """
+        members = tuple(self.members.values())
+        slots = sum(state.spec.slots for state in members)
+        assert self.slots == slots, f'{self.selector} has {slots} slots'
+        for state in members:
+            state.refresh()
+            assert self._rooms[state.spec.name] == state.room, state.spec.name
+        room = sum(self._rooms.values())
+        assert self.room == room, f'{self.selector} has room {room}'
+
     def _lower_highest(self) -> None:
         while self._highest > 0 and not self._buckets[self._highest]:
             self._highest -= 1
--- a/packages/core/cactushead_core/scheduling/registry.py
+++ b/packages/core/cactushead_core/scheduling/registry.py
@@ -129,12 +129,7 @@
             for pool in self._memberships[name]:
                 assert pool.members[name] is state, f'{name} is another'
         for pool in self._pools.values():
-            for each in pool.members.values():
-                each.refresh()
-            room = sum(member.room for member in pool.members.values())
-            assert pool.room == room, f'{pool.selector} has room {room}'
-            slots = sum(each.spec.slots for each in pool.members.values())
-            assert pool.slots == slots, f'{pool.selector} has {slots} slots'
+            pool.check_invariants()
 
     def _join(self, state: UpstreamState) -> None:
         pools = [
