--- a/packages/cli/cactushead_cli/bench/report.py
+++ b/packages/cli/cactushead_cli/bench/report.py
@@ -12,6 +12,7 @@
 from .records import JobEnd, JobRecord
 from .schedule import PlannedJob
 from .shapes import LoadSpec
+from .usage import RoleUsage
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +62,9 @@
         refusals: Refusals by status and reason.
         failures: Failed jobs by cause.
         costs: Traffic for each useful task.
+        usage: Processor time and memory by role; empty without a cluster
+            file.
+        elections: Leaders elected during the run, None if not measured.
         promises: The promises that were checked.
         starts_checked: Whether start records were there to check.
         faults: What was done to the system.
@@ -82,6 +86,8 @@
     refusals: tuple[Tally, ...]
     failures: tuple[Tally, ...]
     costs: TaskCosts
+    usage: tuple[RoleUsage, ...]
+    elections: int | None
     promises: tuple[Broken, ...]
     starts_checked: bool
     faults: tuple[FaultNote, ...]
@@ -98,10 +104,25 @@
         return json.dumps(asdict(self), indent=2)
 
 
+@dataclass(frozen=True, slots=True)
+class Measured:
+    """What the processes of the system showed over the run.
+
+    Attributes:
+        grown: Growth of the counters.
+        usage: Processor time and memory by role.
+        elections: Leaders elected, None if not measured.
+    """
+
+    grown: Counters
+    usage: tuple[RoleUsage, ...] = ()
+    elections: int | None = None
+
+
 def make_report(
     spec: LoadSpec,
     evidence: RunEvidence,
-    grown: Counters,
+    measured: Measured,
     faults: Sequence[FaultNote],
 ) -> Report:
     """Works out the report.
@@ -109,7 +130,7 @@
     Args:
         spec: The load.
         evidence: What the run left.
-        grown: Growth of the counters over the run.
+        measured: What the processes showed.
         faults: What was done to the system.
     """
     schedule = evidence.schedule
@@ -136,7 +157,9 @@
         failures=_tally(
             record.error for record in records if record.end is JobEnd.FAILED
         ),
-        costs=task_costs(grown, useful_tasks),
+        costs=task_costs(measured.grown, useful_tasks),
+        usage=measured.usage,
+        elections=measured.elections,
         promises=check_promises(evidence),
         starts_checked=evidence.starts is not None,
         faults=tuple(faults),
--- a/packages/cli/cactushead_cli/bench/run.py
+++ b/packages/cli/cactushead_cli/bench/run.py
@@ -12,6 +12,7 @@
     ClientError,
     HttpcoreTransport,
     RefusedError,
+    TimelineQuery,
     UsageError,
 )
 from .cluster import Cluster, read_cluster
@@ -20,15 +21,17 @@
 from .faults import NO_WAVE_S, Fault, FaultPlan, find_fault
 from .promises import RunEvidence
 from .records import JobEnd, JobRecord, WorkerOrder, decode_records
-from .report import Report, make_report
+from .report import Measured, Report, make_report
 from .shapes import SHAPES, LoadSpec
 from .starts import read_starts
+from .usage import read_usage, used_between
 
 WORKER_MODULE = 'cactushead_cli.bench.worker'
 WARM_UP_S = 2.0
 SETTLE_TRIES = 10
 SETTLE_S = 0.5
 HTTP_NOT_FOUND = 404
+ELECTED = 'leader elected'
 FINAL_STATES = frozenset(('complete', 'failed', 'not known'))
 
 
@@ -93,10 +96,18 @@
                 self._cluster.close()
 
     async def _measure(self) -> Report:
+        begun_s = time.time()
+        usage_before = read_usage(self._cluster)
         before = await read_counters(self._options.entries)
         await self._offer_load()
+        usage = used_between(usage_before, read_usage(self._cluster))
         final_states = await self._settle()
         after = await read_counters(self._options.entries)
+        measured = Measured(
+            counted_between(before, after),
+            usage,
+            await self._count_elections(begun_s),
+        )
         starts = None
         if self._options.starts_dir:
             starts = read_starts(self._options.starts_dir, self._run)
@@ -108,8 +119,16 @@
             starts,
             final_states,
         )
-        grown = counted_between(before, after)
-        return make_report(self._spec, evidence, grown, self._notes)
+        return make_report(self._spec, evidence, measured, self._notes)
+
+    async def _count_elections(self, begun_s: float) -> int | None:
+        client = Client(HttpcoreTransport(), self._options.entries)
+        query = TimelineQuery(since_s=begun_s)
+        try:
+            events = await client.timeline(query)
+        except ClientError:
+            return None
+        return sum(event.text('kind') == ELECTED for event in events)
 
     async def _offer_load(self) -> None:
         start_s = time.monotonic() + WARM_UP_S
--- a/packages/cli/cactushead_cli/bench/summary.py
+++ b/packages/cli/cactushead_cli/bench/summary.py
@@ -9,6 +9,7 @@
 from .report import Report, Tally
 
 NOT_MEASURED = 'not measured'
+MS_PER_S = 1000
 PERCENTILE_HEAD = ('', 'count', 'p50', 'p90', 'p99', 'p99.9', 'max')
 COMPARED = (
     ('ratio', ('p50', 'p90', 'p99', 'p999', 'max')),
@@ -40,6 +41,7 @@
         f'failures: {_join(report.failures)}',
     ]
     lines.extend(_cost_lines(report.costs))
+    lines.extend(_usage_lines(report))
     lines.extend(_fault_lines(report))
     lines.append('')
     lines.extend(_promise_lines(report))
@@ -109,6 +111,20 @@
     ]
 
 
+def _usage_lines(report: Report) -> list[str]:
+    elections = report.elections
+    shown = NOT_MEASURED if elections is None else str(elections)
+    lines = [f'leaders elected during the run: {shown}']
+    tasks = max(report.costs.useful_tasks, 1)
+    lines.extend(
+        f'{usage.role}: {usage.processes} processes, processor '
+        f'{usage.cpu_s:.2f} s, {usage.cpu_s / tasks * MS_PER_S:.2f} ms per '
+        f'useful task, largest {usage.largest_mb:.0f} MB'
+        for usage in report.usage
+    )
+    return lines
+
+
 def _fault_lines(report: Report) -> list[str]:
     return [
         f'fault: {note.at_s:.2f} s {note.step}; longest time without a start '
--- a/packages/cli/cactushead_cli/bench/tests/test_report.py
+++ b/packages/cli/cactushead_cli/bench/tests/test_report.py
@@ -5,11 +5,12 @@
 from cactushead_cli.bench.plot import plot_reports
 from cactushead_cli.bench.promises import RunEvidence
 from cactushead_cli.bench.records import JobEnd, JobRecord
-from cactushead_cli.bench.report import make_report
+from cactushead_cli.bench.report import Measured, make_report
 from cactushead_cli.bench.schedule import PlannedJob
 from cactushead_cli.bench.shapes import LoadSpec
 from cactushead_cli.bench.starts import TaskStart
 from cactushead_cli.bench.summary import compare_reports, summarise_report
+from cactushead_cli.bench.usage import RoleUsage
 from cactushead_cli.client import Fields
 
 SPEC = LoadSpec('single', 0.5, 10.0, 1, upstreams=1)
@@ -28,7 +29,9 @@
 def report(records=RECORDS):
     evidence = RunEvidence('r', SCHEDULE, records, None, {})
     grown = {'sent_frames': 6, 'appended_records': 3}
-    return make_report(SPEC, evidence, grown, [FaultNote(1.0, 5.0, 'killed')])
+    measured = Measured(grown, (RoleUsage('entry', 3, 0.6, 50.0),), 2)
+    faults = [FaultNote(1.0, 5.0, 'killed')]
+    return make_report(SPEC, evidence, measured, faults)
 
 
 def test_report_counts_complete_jobs_only():
@@ -62,6 +65,8 @@
     text = '\n'.join(summarise_report(report()))
     assert 'starts: not checked' in text
     assert 'messages not measured' in text
+    assert 'leaders elected during the run: 2' in text
+    assert 'processor 0.60 s, 200.00 ms per useful task' in text
     assert 'fault: 1.00 s killed' in text
 
 
