Pack and unpack a message's fields without a call per scalar

Cause: each field of each message cost a generator step, a closure call and an isinstance check; at 500 agents the codec was a third of the leader's time under the profiler. Now one attrgetter reads all fields, converters run for nested fields only, and a combination of field types is checked once, field by field, and then known, so that validation stays as strict. Enums are looked up by value in place of the slow enum call. Ruled out: generated source (unreadable, no need yet).

--- a/packages/core/cactushead_core/messages/codec.py
+++ b/packages/core/cactushead_core/messages/codec.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import enum
+import operator
 import types
 import typing
 from collections.abc import Callable, Iterable
@@ -99,22 +100,31 @@
 @cache
 def _packer(data_type: type) -> _Converter:
     hints = typing.get_type_hints(data_type)
-    fields = [
-        (field.name, _pack_field(hints[field.name]))
-        for field in dataclasses.fields(data_type)
+    names = [field.name for field in dataclasses.fields(data_type)]
+    packed = [_pack_field(hints[name]) for name in names]
+    converters = [
+        (position, convert)
+        for position, convert in enumerate(packed)
+        if convert is not None
     ]
+    read = _fields_reader(names)
 
     def pack(instance: Any) -> list[Any]:
-        return [
-            getattr(instance, name)
-            if convert is None
-            else convert(getattr(instance, name))
-            for name, convert in fields
-        ]
+        parts = list(read(instance))
+        for position, convert in converters:
+            parts[position] = convert(parts[position])
+        return parts
 
     return pack
 
 
+def _fields_reader(names: list[str]) -> Callable[[Any], Iterable[Any]]:
+    # With a single name, attrgetter returns no tuple.
+    if len(names) > 1:
+        return operator.attrgetter(*names)
+    return lambda instance: [getattr(instance, name) for name in names]
+
+
 def _pack_field(hint: Any) -> _Converter | None:
     hint, optional = _strip_optional(hint)
     convert = _pack_plain(hint)
@@ -132,32 +142,68 @@
     if dataclasses.is_dataclass(hint):
         return _packer(hint)
     if isinstance(hint, type) and issubclass(hint, enum.Enum):
-        return lambda member: member.value
+        return operator.attrgetter('value')
     return None
 
 
 @cache
 def _unpacker(data_type: type) -> _Converter:
-    hints = typing.get_type_hints(data_type)
-    fields = dataclasses.fields(data_type)
-    converters = [_unpack_field(hints[field.name]) for field in fields]
-    count = len(converters)
-    name = data_type.__name__
-
-    def unpack(parts: Any) -> Any:
-        if not isinstance(parts, list) or len(parts) != count:
-            raise FrameError(f'{name} wants {count} fields, got {parts!r:.80}')
-        try:
-            return data_type(
-                *[
-                    convert(part)
-                    for convert, part in zip(converters, parts, strict=True)
-                ],
+    return _Unpacker(data_type).unpack
+
+
+class _Unpacker:
+    """Makes instances of one dataclass from their fields.
+
+    Explanation:
+        A combination of the fields' types is checked field by field once
+        and then known, so that the usual message costs one look-up.
+    """
+
+    def __init__(self, data_type: type) -> None:
+        hints = typing.get_type_hints(data_type)
+        fields = dataclasses.fields(data_type)
+        self._make = data_type
+        self._count = len(fields)
+        self._known: set[tuple[type, ...]] = set()
+        self._converters: list[tuple[int, _Converter]] = []
+        self._checks: list[tuple[int, _Converter]] = []
+        for position, field in enumerate(fields):
+            hint = hints[field.name]
+            scalar = _strip_optional(hint)[0] in _SCALARS
+            group = self._checks if scalar else self._converters
+            group.append((position, _unpack_field(hint)))
+
+    def unpack(self, parts: Any) -> Any:
+        """Returns the instance of a list of fields.
+
+        Args:
+            parts: The fields; the list is used up.
+
+        Raises:
+            FrameError: The fields don't fit the class.
+        """
+        name = self._make.__name__
+        if not isinstance(parts, list) or len(parts) != self._count:
+            raise FrameError(
+                f'{name} wants {self._count} fields, got {parts!r:.80}',
             )
+        try:
+            return self._build(parts)
         except (TypeError, ValueError) as error:
             raise FrameError(f'{name}: {error}') from error
 
-    return unpack
+    def _build(self, parts: list[Any]) -> Any:
+        for position, convert in self._converters:
+            parts[position] = convert(parts[position])
+        types_found = tuple(map(type, parts))
+        if types_found not in self._known:
+            self._check(parts)
+            self._known.add(types_found)
+        return self._make(*parts)
+
+    def _check(self, parts: list[Any]) -> None:
+        for position, check in self._checks:
+            check(parts[position])
 
 
 def _unpack_field(hint: Any) -> _Converter:
@@ -174,12 +220,24 @@
     if dataclasses.is_dataclass(hint):
         return _unpacker(hint)
     if isinstance(hint, type) and issubclass(hint, enum.Enum):
-        return hint
+        return _enum_unpacker(hint)
     if hint in _SCALARS:
         return _scalar_checker(hint)
     raise TypeError(f'no wire form for {hint!r}')
 
 
+def _enum_unpacker(hint: type[enum.Enum]) -> _Converter:
+    members = {member.value: member for member in hint}
+
+    def unpack(part: Any) -> enum.Enum:
+        member = members.get(part)
+        if member is None:
+            raise FrameError(f'{part!r:.80} is no {hint.__name__}')
+        return member
+
+    return unpack
+
+
 def _tuple_unpacker(inner: _Converter) -> _Converter:
     def unpack(parts: Any) -> tuple[Any, ...]:
         if not isinstance(parts, list):
