Keep every job of a caller in its lane when an estimate changes

Cause: after a task was taken, the next task of the same job was offered without asking the lane whether that job was still next. When its estimate had just grown, another job of the caller stood on top of the lane's heap, and that job's entry was replaced: it waited until its deadline. Ruled out: the takeover (the tasks were queued), placement (slots were free and available). The lane asserts it.

--- a/packages/core/cactushead_core/scheduling/fair.py
+++ b/packages/core/cactushead_core/scheduling/fair.py
@@ -210,8 +210,10 @@
             return None
         if len(self._turn[0][2].open_queues) != 1:
             return None
-        same_round = batch.job.lane.share.round == self._taken_round
-        return batch if same_round else None
+        lane = batch.job.lane
+        same_round = lane.share.round == self._taken_round
+        # A new estimate can put another job of the caller first.
+        return batch if same_round and lane.top() is batch else None
 
     def _next_batch(self) -> Batch | None:
         turn = self._turn
--- a/packages/core/cactushead_core/scheduling/lanes.py
+++ b/packages/core/cactushead_core/scheduling/lanes.py
@@ -123,6 +123,8 @@
         Args:
             batch: The batch that `top` returned.
         """
+        top = self.entries[0][2]
+        assert top is batch, f'{batch.job} is not the top of its lane'
         if batch.tasks:
             batch.ticket = next(_tickets)
             entry = (batch.job.rank_s, batch.ticket, batch)
--- a/packages/core/cactushead_core/scheduling/tests/test_fair.py
+++ b/packages/core/cactushead_core/scheduling/tests/test_fair.py
@@ -176,3 +176,13 @@
 
 def make_fair():
     return Scheduler(FairOrder, SpreadPlacement())
+
+
+def test_new_estimate_loses_no_other_job_of_the_caller():
+    # The entry of the overtaking job was dropped from the caller's lane.
+    scheduler = make(slots=8)
+    enqueue(scheduler, 'first', 60)
+    enqueue(scheduler, 'second', 60)
+    order = turn_over(scheduler, 112, scheduler.place(0.0), long='first')
+    assert len(order) == 112
+    assert scheduler.waiting_tasks == 0
