--- a/packages/core/cactushead_core/scheduling/scheduler.py
+++ b/packages/core/cactushead_core/scheduling/scheduler.py
@@ -54,7 +54,9 @@
             make_order: Makes the queue.
             placement: Chooses upstreams.
             queue_depth: Tasks that may wait at an agent beyond its slots,
-                to hide the round trip between two starts.
+                to hide the round trip between two starts. A task that waits
+                there can't be overtaken any more, so 0 is best unless tasks
+                are as short as the round trip.
         """
         self._placement = placement
         self._registry = UpstreamRegistry(placement.prefer, queue_depth)
@@ -326,13 +328,16 @@
             return
         status = outcome.status
         succeeded = status is OutcomeStatus.SUCCEEDED
+        slowness = 0.0
         if succeeded:
-            load.estimates[task.kind].observe(outcome.run_s)
+            estimate = load.estimates[task.kind]
+            slowness = estimate.slowness(outcome.run_s)
+            estimate.observe(outcome.run_s)
         if succeeded or status in FAULTS:
-            kind = (service, task.kind)
             self._health.record(
                 state,
-                kind,
+                (service, task.kind),
                 self._now_s,
                 failed=not succeeded,
+                slowness=slowness,
             )
