--- a/packages/core/cactushead_core/scheduling/tests/test_fair.py
+++ b/packages/core/cactushead_core/scheduling/tests/test_fair.py
@@ -80,6 +80,15 @@
     assert 8 <= short / (len(order) - short) <= 12
 
 
+def test_callers_share_the_slots_of_a_single_turn():
+    scheduler = make(slots=80)
+    enqueue(scheduler, 'x', 200, caller='a')
+    enqueue(scheduler, 'y', 200, caller='b')
+    callers = [placed.task.caller for placed in scheduler.place(0.0)]
+    assert len(callers) == 80
+    assert 36 <= callers.count('a') <= 44
+
+
 def test_smaller_job_of_a_caller_goes_first():
     scheduler = make(slots=1)
     enqueue(scheduler, 'large', 30)
