Never take from a lane's top what belongs to another job

Cause: a batch that went on by the short cut was assumed to stay on top of its lane. When two large jobs of a caller rank equally, the other one came to the top, and its entry was dropped instead: its tasks waited for ever.

The short cut checks the lane's top now, and Lane.note_taken asserts it.

--- a/packages/core/cactushead_core/scheduling/fair.py
+++ b/packages/core/cactushead_core/scheduling/fair.py
@@ -201,8 +201,8 @@
     def _next_of_same_batch(self) -> Batch | None:
         """Returns the batch that was taken from last if it is next again.
 
-        Its remaining work has shrunk, so with a single team and service it
-        is next until its caller's round is over.
+        Its remaining work has shrunk, so with a single team and service its
+        caller is next until the caller's round is over.
         """
         batch = self._taken
         self._taken = None
@@ -210,8 +210,10 @@
             return None
         if len(self._turn[0][2].open_queues) != 1:
             return None
-        same_round = batch.job.lane.share.round == self._taken_round
-        return batch if same_round else None
+        lane = batch.job.lane
+        if lane.share.round != self._taken_round:
+            return None
+        return batch if lane.top() is batch else None
 
     def _next_batch(self) -> Batch | None:
         turn = self._turn
--- a/packages/core/cactushead_core/scheduling/lanes.py
+++ b/packages/core/cactushead_core/scheduling/lanes.py
@@ -123,6 +123,7 @@
         Args:
             batch: The batch that `top` returned.
         """
+        assert self.entries[0][2] is batch, 'another batch is on top'
         if batch.tasks:
             batch.ticket = next(_tickets)
             entry = (batch.job.rank_s, batch.ticket, batch)
--- a/packages/core/cactushead_core/scheduling/tests/replay.py
+++ b/packages/core/cactushead_core/scheduling/tests/replay.py
@@ -100,6 +100,7 @@
             run_s, _ = run_of(run, placed, arrivals[number])
             event = (now_s + run_s, next(numbers), number, placed)
             heapq.heappush(events, event)
+    assert len(ratios) == len(arrivals), 'a job never ended'
     return ratios
 
 
--- a/packages/core/cactushead_core/scheduling/tests/test_fair.py
+++ b/packages/core/cactushead_core/scheduling/tests/test_fair.py
@@ -89,6 +89,14 @@
     assert 36 <= callers.count('a') <= 44
 
 
+def test_jobs_of_equal_rank_are_all_served():
+    scheduler = make(slots=8)
+    for key in ('x', 'y', 'z'):
+        enqueue(scheduler, key, 40)
+    running = scheduler.place(0.0)
+    assert len(turn_over(scheduler, 112, running)) == 112
+
+
 def test_smaller_job_of_a_caller_goes_first():
     scheduler = make(slots=1)
     enqueue(scheduler, 'large', 30)
