Look at each effect once when an entry answers itself

Cause: after each message that an entry sent to itself all effects of the event were scanned and copied again, quadratic in the jobs that the leader's own callers submit in a turn: at 500 agents and jobs of one task 1.9 million effects were copied for 6,000 tasks under the profiler. The order of effects and of looped messages stays the same. Ruled out: a separate outbox for the entry itself, which every part of the leader would have to know.

Profiler, 500 agents, jobs of 1: _divert 2.07 s -> 0.13 s for 6,000 tasks.

--- a/packages/core/cactushead_core/entry/node.py
+++ b/packages/core/cactushead_core/entry/node.py
@@ -171,34 +171,31 @@
             effects.append(Drained())
 
     def _collect(self, effects: list[Effect]) -> None:
-        if self.leader is None:
-            return
-        for effect in self.leader.take_effects():
-            if isinstance(effect, Send) and effect.peer == self.config.name:
-                self._loopback.append(effect.message)
-            else:
-                effects.append(effect)
+        if self.leader is not None:
+            effects.extend(self.leader.take_effects())
 
     def _drain_loopback(self, now_s: float, effects: list[Effect]) -> None:
+        seen = 0
         self._collect(effects)
-        self._divert(effects)
-        while self._loopback:
-            message = self._loopback.popleft()
-            event = MessageReceived(now_s, self._self, message)
-            self._on_message(event, effects)
-            self._collect(effects)
-            self._divert(effects)
-
-    def _divert(self, effects: list[Effect]) -> None:
+        while seen < len(effects):
+            seen = self._divert(effects, seen)
+            while self._loopback:
+                message = self._loopback.popleft()
+                event = MessageReceived(now_s, self._self, message)
+                self._on_message(event, effects)
+                self._collect(effects)
+
+    def _divert(self, effects: list[Effect], seen: int) -> int:
         # What the entry sends to itself stays in the process.
-        kept: list[Effect] = []
-        for effect in effects:
-            if isinstance(effect, Send) and effect.peer == self.config.name:
+        name = self.config.name
+        fresh = effects[seen:]
+        del effects[seen:]
+        for effect in fresh:
+            if isinstance(effect, Send) and effect.peer == name:
                 self._loopback.append(effect.message)
             else:
-                kept.append(effect)
-        effects.clear()
-        effects.extend(kept)
+                effects.append(effect)
+        return len(effects)
 
     # The replicated log.
 
