Apply a leader's own records without decoding them

Cause: a leader decoded each committed command although it had encoded the same record a moment before; taking an acknowledgement of the followers cost 49 of 220 us a task (jobs of 20, 500 agents, sections timed one by one). Pending records are now kept by their command, so that equal bytes mean an equal record and a record of another leader is decoded as before. Ruled out: keeping them by index, which must be guarded against another leader's entry.

--- a/packages/core/cactushead_core/entry/context.py
+++ b/packages/core/cactushead_core/entry/context.py
@@ -46,6 +46,8 @@
             may be about their jobs.
         proposals: Other records that leave at the end of the turn.
         commits: Decisions that wait for a commit.
+        own_records: Records that this leader proposed, by their commands,
+            until they are committed.
         effects: Effects for the shell.
         memory_index: Last index that a majority holds in memory.
         synced_index: Last index that a majority has synced.
@@ -59,6 +61,7 @@
     admissions: list[Proposal] = field(default_factory=list)
     proposals: list[Proposal] = field(default_factory=list)
     commits: CommitQueue[OnCommit] = field(default_factory=CommitQueue)
+    own_records: dict[bytes, Message] = field(default_factory=dict)
     effects: list[Effect] = field(default_factory=list)
     memory_index: int = 0
     synced_index: int = 0
@@ -88,6 +91,8 @@
         self.admissions = []
         self.proposals = []
         commands = [encode_message(proposal.record) for proposal in proposals]
+        for command, proposal in zip(commands, proposals, strict=True):
+            self.own_records[command] = proposal.record
         last_index = self.replica.propose(commands)
         index = last_index - len(commands)
         for proposal in proposals:
--- a/packages/core/cactushead_core/entry/leader.py
+++ b/packages/core/cactushead_core/entry/leader.py
@@ -147,6 +147,17 @@
         self._context.release_commits(now_s)
         self._jobs.placer.send_assignments()
 
+    def take_record(self, command: bytes) -> Message | None:
+        """Returns the record of a command that this leader proposed.
+
+        Args:
+            command: The command of a committed entry.
+
+        Returns:
+            The record, or None when it must be decoded.
+        """
+        return self._context.own_records.pop(command, None)
+
     def take_effects(self) -> list[Effect]:
         """Returns and clears the effects since the last call."""
         effects = self._context.effects
--- a/packages/core/cactushead_core/entry/node.py
+++ b/packages/core/cactushead_core/entry/node.py
@@ -294,9 +294,15 @@
                 )
             self._synced_index = entry.index
             if entry.command:
-                self.state.apply(decode_message(entry.command))
+                self.state.apply(self._read_record(entry.command))
         self._release(now_s)
 
+    def _read_record(self, command: bytes) -> Message:
+        record = None
+        if self.leader is not None:
+            record = self.leader.take_record(command)
+        return record or decode_message(command)
+
     def _on_snapshot_installed(
         self,
         notice: SnapshotInstalled,
