Check names in settings as documents do, and don't resend to a stopped service

An agent could be named, or labelled, with a name that no selector of a document can have, and a line break in a name would break log lines. Settings now hold names of processes and labels to the rule of documents, which moved to a module of its own, since agents can't import the schema's library.

The client took a refusal because of the service for one of the entry and asked all entries in turn: seen in the metrics as three refusals for one submission to a draining service. It asks the next entry only when it is the entry that can't serve.

--- a/packages/cli/cactushead_cli/client/client.py
+++ b/packages/cli/cactushead_cli/client/client.py
@@ -7,6 +7,7 @@
 from urllib.parse import quote, urlencode
 
 from cactushead_core.errors import Finding
+from cactushead_core.jobs import RefusalReason
 
 from .answers import DocumentView, JobView, read_document, read_job
 from .errors import (
@@ -257,7 +258,9 @@
 
 
 def _may_ask_next(refusal: RefusedError) -> bool:
-    return refusal.status == HTTP_UNAVAILABLE and refusal.not_run
+    """Whether it is the entry that can't serve, and not the service."""
+    unavailable = refusal.status == HTTP_UNAVAILABLE and refusal.not_run
+    return unavailable and refusal.reason != RefusalReason.NOT_SERVING
 
 
 def _weigh(
--- a/packages/cli/cactushead_cli/client/tests/test_client.py
+++ b/packages/cli/cactushead_cli/client/tests/test_client.py
@@ -87,6 +87,14 @@
     assert submit(transport).state == 'complete'
 
 
+def test_refusal_of_the_service_is_not_passed_over():
+    body = {'error': 'service is not serving', 'not_run': True}
+    transport = ScriptedTransport(a=[reply(503, body)], b=[COMPLETE])
+    with pytest.raises(RefusedError):
+        submit(transport)
+    assert transport.tried == ['http://a']
+
+
 def test_unknown_outcome_is_not_passed_over():
     refusal = reply(504, {'error': 'no answer in time', 'not_run': False})
     transport = ScriptedTransport(a=[refusal], b=[COMPLETE])
--- /dev/null
+++ b/packages/core/cactushead_core/documents/names.py
@@ -0,0 +1,20 @@
+"""The form of names in documents and settings."""
+
+import re
+
+# Names stand in URL paths, in task ids and in log lines.
+NAME_PATTERN = '^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$'
+NAME_RULE = (
+    'must be 1 to 100 letters, digits, ".", "_" or "-", and begin with a '
+    'letter or digit'
+)
+
+
+def is_name(text: str) -> bool:
+    """Whether a text can name a service, a label, a process or an upstream.
+
+    Examples:
+        >>> is_name('sled-desk'), is_name('sled desk')
+        (True, False)
+    """
+    return re.fullmatch(NAME_PATTERN, text) is not None
--- a/packages/core/cactushead_core/documents/schema.py
+++ b/packages/core/cactushead_core/documents/schema.py
@@ -7,7 +7,6 @@
 
 import hashlib
 import json
-import re
 from typing import Annotated, Any, Literal, Self
 
 from pydantic import Field, model_validator
@@ -25,6 +24,7 @@
     StopPolicy,
     StopRemainder,
 )
+from .names import NAME_PATTERN
 
 DIGEST_SIZE_BYTES = 16
 HIGHEST_VERSION = 2**53 - 1
@@ -37,9 +37,6 @@
 HIGHEST_NAMES = 10_000
 HIGHEST_LABELS = 100
 
-# Names stand in URL paths, in task ids and in log lines.
-NAME_PATTERN = '^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$'
-
 Name = Annotated[str, Field(pattern=NAME_PATTERN)]
 _LabelValue = Annotated[str, Field(max_length=200)]
 _Tasks = Annotated[int, Field(ge=1, le=HIGHEST_TASKS)]
@@ -126,16 +123,6 @@
     return _to_model(parsed, _digest(loaded.content))
 
 
-def is_name(text: str) -> bool:
-    """Whether a text can name a service.
-
-    Examples:
-        >>> is_name('sled-desk'), is_name('sled desk')
-        (True, False)
-    """
-    return re.fullmatch(NAME_PATTERN, text) is not None
-
-
 def document_json(document: ServiceDocument) -> dict[str, Any]:
     """Returns the JSON form of a document, with all defaults filled in.
 
--- a/packages/node/cactushead_node/callers/app.py
+++ b/packages/node/cactushead_node/callers/app.py
@@ -5,7 +5,8 @@
 from functools import partial
 from http import HTTPStatus
 
-from cactushead_core.documents.schema import is_name, parse_document
+from cactushead_core.documents.names import is_name
+from cactushead_core.documents.schema import parse_document
 from cactushead_core.effects import Response
 from cactushead_core.errors import Finding, InvalidInputError
 from cactushead_core.events import (
--- a/packages/node/cactushead_node/settings/parse.py
+++ b/packages/node/cactushead_node/settings/parse.py
@@ -17,6 +17,7 @@
     Timing,
 )
 from cactushead_core.documents.model import Label
+from cactushead_core.documents.names import NAME_RULE, is_name
 from cactushead_core.errors import SettingsError
 from cactushead_core.validation import FieldReader, load_json
 
@@ -85,7 +86,7 @@
 
 def _read_entry(reader: FieldReader) -> EntrySettings:
     settings = EntrySettings(
-        name=reader.text('name'),
+        name=_read_name(reader),
         cell=reader.text('cell'),
         data_centre=reader.text('data_centre'),
         callers=_read_address(reader, 'callers'),
@@ -106,7 +107,7 @@
 
 def _read_agent(reader: FieldReader) -> AgentSettings:
     return AgentSettings(
-        name=reader.text('name'),
+        name=_read_name(reader),
         cell=reader.text('cell'),
         data_centre=reader.text('data_centre'),
         rack=reader.text('rack', ''),
@@ -134,13 +135,13 @@
 
 def _read_upstream(reader: FieldReader) -> UpstreamSettings:
     default = _DEFAULT_UPSTREAM
-    labels = sorted(reader.texts_by_name('labels').items())
+    labels = _read_labels(reader)
     settings = UpstreamSettings(
         host=_read_host(reader),
         port=_read_port(reader),
         run_path=_read_path(reader, 'run_path', default.run_path),
         health_path=_read_path(reader, 'health_path', default.health_path),
-        labels=tuple(Label(name, text) for name, text in labels),
+        labels=labels,
         slots=_read_slots(reader),
         connections=reader.integer(
             'connections',
@@ -176,7 +177,7 @@
 
 def _read_voter(reader: FieldReader) -> VoterAddress:
     voter = VoterAddress(
-        name=reader.text('name'),
+        name=_read_name(reader),
         host=_read_host(reader),
         port=_read_port(reader),
     )
@@ -184,6 +185,22 @@
     return voter
 
 
+def _read_name(reader: FieldReader) -> str:
+    name = reader.text('name')
+    if name and not is_name(name):
+        reader.add('name', f'{NAME_RULE}, got {name!r:.80}')
+    return name
+
+
+def _read_labels(reader: FieldReader) -> tuple[Label, ...]:
+    """Reads labels; a selector could not name one of another form."""
+    texts = reader.texts_by_name('labels')
+    for name in texts:
+        if not is_name(name):
+            reader.add('labels', f'a name {NAME_RULE}, got {name!r:.80}')
+    return tuple(Label(label, text) for label, text in sorted(texts.items()))
+
+
 def _read_address(reader: FieldReader, name: str) -> Address:
     section = reader.section(name)
     address = Address(host=_read_host(section), port=_read_port(section))
--- a/packages/node/cactushead_node/settings/tests/test_parse.py
+++ b/packages/node/cactushead_node/settings/tests/test_parse.py
@@ -77,6 +77,27 @@
     assert parsed.upstream_spec.labels[0].name == 'tier'
 
 
+def test_labels_are_sorted():
+    labels = {'tier': 'a', 'rack.row': '2'}
+    content = changed(AGENT, 'upstream.labels', labels)
+    parsed = parse_settings(json.dumps(content).encode(), Role.AGENT)
+    names = [label.name for label in parsed.upstream.labels]
+    assert names == ['rack.row', 'tier']
+
+
+@pytest.mark.parametrize(
+    ('path', 'content', 'place'),
+    [
+        ('name', 'runner 1', 'name'),
+        ('name', 'a\nb', 'name'),
+        ('voters.0.name', '-entry', 'voters[0].name'),
+        ('upstream.labels', {'a label': 'x'}, 'upstream.labels'),
+    ],
+)
+def test_name_that_no_document_can_have_is_found(path, content, place):
+    assert places(changed(AGENT, path, content), Role.AGENT) == [place]
+
+
 def test_local_needs_no_settings():
     assert parse_settings(b'{}', Role.LOCAL) == LocalSettings()
 
