--- a/packages/core/cactushead_core/entry/tests/cluster.py
+++ b/packages/core/cactushead_core/entry/tests/cluster.py
@@ -156,6 +156,7 @@
         self.drained: set[str] = set()
         self.starts: dict[str, int] = {}
         self.latency_s = 0.001
+        self.sync_chance = 0.5
         self.duplicate = 0.0
         self.requests = 0
         self.voters = tuple(f'e{i}' for i in range(voters))
@@ -345,7 +346,7 @@
         effects += process.node.reduce(TurnEnded(now_s))
         for effect in effects:
             self._perform(process, effect)
-        synced = self.random.random() < 0.5
+        synced = self.random.random() < self.sync_chance
         if synced and process.disk and process.disk.waiting:
             process.inbox += process.disk.sync(now_s)
 
--- a/packages/core/cactushead_core/entry/tests/test_faults.py
+++ b/packages/core/cactushead_core/entry/tests/test_faults.py
@@ -70,6 +70,26 @@
     assert started_once(cluster)
 
 
+@pytest.mark.parametrize('kind', KINDS)
+def test_nothing_starts_before_a_majority_holds_the_record(cluster, kind):
+    leader = cluster.leaders[0]
+    for voter in cluster.voters:
+        if voter != leader:
+            cluster.cut_one_way(leader, voter)
+    submit(cluster, 'k', 3, kind, leader)
+    cluster.run(0.2)
+    assert cluster.leaders == [leader]
+    assert not cluster.starts
+
+
+@pytest.mark.parametrize(('kind', 'started'), [('echo', 3), ('book', 0)])
+def test_only_repeatable_requests_start_before_the_sync(cluster, kind, started):
+    cluster.sync_chance = 0.0
+    submit(cluster, 'k', 3, kind)
+    cluster.run(0.3)
+    assert len(cluster.starts) == started
+
+
 @pytest.mark.parametrize('kind', KINDS)
 def test_all_voters_restart_at_once(cluster, kind):
     set_run_time(cluster, 1.0)
@@ -155,6 +175,19 @@
     assert response.answer.not_run is not ran
 
 
+def test_cancel_waits_for_the_word_of_the_agent(cluster):
+    for name in ('a0', 'a1', 'a2'):
+        cluster.processes[name].frozen = True
+    asked = submit(cluster, 'k', 2)
+    cluster.run(0.1)
+    cluster.ask('e3', JobCancelRequested, sample_request('k').job)
+    cluster.run(0.5)
+    assert asked not in cluster.responses
+    for name in ('a0', 'a1', 'a2'):
+        cluster.processes[name].frozen = False
+    assert answer(cluster, asked).answer.state is JobState.FAILED
+
+
 def test_racing_operators_exactly_one_wins(cluster):
     ours = sample_document(2)
     theirs = dataclasses.replace(ours, digest=b'theirs')
