--- a/packages/core/cactushead_core/entry/node.py
+++ b/packages/core/cactushead_core/entry/node.py
@@ -105,6 +105,7 @@
                 config.name,
                 config.disk_incarnation,
                 config.voters,
+                drift=config.timing.drift,
                 seed=config.seed,
             )
             self._replica = Replica(settings, stored, now_s)
