--- a/packages/cli/cactushead_cli/bench/summary.py
+++ b/packages/cli/cactushead_cli/bench/summary.py
@@ -2,21 +2,15 @@
 
 from collections.abc import Sequence
 
-from ..client import Fields
 from ..output import format_table
+from .compare import NOT_MEASURED
 from .costs import TaskCosts
 from .percentiles import Percentiles
 from .report import Report, Tally
 
-NOT_MEASURED = 'not measured'
 MS_PER_S = 1000
+SHOWN_CALLERS = 10
 PERCENTILE_HEAD = ('', 'count', 'p50', 'p90', 'p99', 'p99.9', 'max')
-COMPARED = (
-    ('ratio', ('p50', 'p90', 'p99', 'p999', 'max')),
-    ('added_s', ('p50', 'p90', 'p99', 'p999', 'max')),
-    ('costs', ('frames', 'messages', 'size_bytes', 'records')),
-    ('costs', ('wasted_frames', 'wasted_messages')),
-)
 
 
 def summarise_report(report: Report) -> list[str]:
@@ -59,40 +53,13 @@
     return [name, str(found.count), *(f'{value:.3f}' for value in shown)]
 
 
-def compare_reports(first: Fields, second: Fields) -> list[str]:
-    """Returns two decoded reports side by side.
-
-    Args:
-        first: The report before a change.
-        second: The report after it.
-    """
-    rows = [['measure', 'A', 'B', 'B/A']]
-    for section, names in COMPARED:
-        rows.extend(
-            _compared_row(f'{section} {name}', section, name, first, second)
-            for name in names
-        )
-    rows.append(_number_row('tasks_per_s', first, second))
-    for report_name in ('jobs', 'cancelled', 'resubmitted'):
-        rows.append(_number_row(report_name, first, second))
-    rows.append(
-        [
-            'broken promises',
-            str(_broken_count(first)),
-            str(_broken_count(second)),
-            '',
-        ]
-    )
-    return format_table(rows)
-
-
 def _percentile_rows(report: Report) -> list[Sequence[str]]:
     rows: list[Sequence[str]] = [
         PERCENTILE_HEAD,
         percentile_row('response/ideal', report.ratio),
         percentile_row('added, s', report.added_s),
     ]
-    if len(report.callers) <= 10:
+    if len(report.callers) <= SHOWN_CALLERS:
         rows.extend(
             percentile_row(f'  ratio of {caller.caller}', caller.ratio)
             for caller in report.callers
@@ -152,27 +119,3 @@
 
 def _shown(cost: float | None) -> str:
     return NOT_MEASURED if cost is None else f'{cost:.3f}'
-
-
-def _compared_row(
-    title: str,
-    section: str,
-    name: str,
-    first: Fields,
-    second: Fields,
-) -> list[str]:
-    row = _number_row(name, first.child(section), second.child(section))
-    return [title, *row[1:]]
-
-
-def _number_row(name: str, first: Fields, second: Fields) -> list[str]:
-    if first.raw.get(name) is None or second.raw.get(name) is None:
-        return [name, NOT_MEASURED, NOT_MEASURED, '']
-    before = first.number(name)
-    after = second.number(name)
-    ratio = f'{after / before:.3f}' if before else ''
-    return [name, f'{before:.3f}', f'{after:.3f}', ratio]
-
-
-def _broken_count(report: Fields) -> int:
-    return sum(found.whole('count') for found in report.children('promises'))
--- a/packages/cli/cactushead_cli/bench/tests/test_report.py
+++ b/packages/cli/cactushead_cli/bench/tests/test_report.py
@@ -1,5 +1,6 @@
 """Tests of reports, their comparison and plot."""
 
+from cactushead_cli.bench.compare import compare_reports, comparison_lines
 from cactushead_cli.bench.fault_model import FaultNote, fault_effect
 from cactushead_cli.bench.percentiles import summarise
 from cactushead_cli.bench.plot import plot_reports
@@ -9,7 +10,7 @@
 from cactushead_cli.bench.schedule import PlannedJob
 from cactushead_cli.bench.shapes import LoadSpec
 from cactushead_cli.bench.starts import TaskStart
-from cactushead_cli.bench.summary import compare_reports, summarise_report
+from cactushead_cli.bench.summary import summarise_report
 from cactushead_cli.bench.usage import RoleUsage
 from cactushead_cli.client import Fields
 
@@ -80,7 +81,7 @@
 
 def test_reports_compare_by_ratio():
     first = Fields.decode(report().encode().encode())
-    lines = compare_reports(first, first)
+    lines = comparison_lines(compare_reports(first, first))
     assert lines[0].split() == ['measure', 'A', 'B', 'B/A']
     assert any(line.split()[-1] == '1.000' for line in lines[1:])
 
--- a/packages/cli/cactushead_cli/commands/bench.py
+++ b/packages/cli/cactushead_cli/commands/bench.py
@@ -1,5 +1,6 @@
 """Commands that measure a running system."""
 
+from dataclasses import asdict
 from pathlib import Path
 
 from fire.decorators import SetParseFn
@@ -14,14 +15,18 @@
     RunOptions,
 )
 from ..bench.cluster import read_cluster
+from ..bench.compare import (
+    ComparedMeasure,
+    compare_reports,
+    comparison_lines,
+)
 from ..bench.summary import (
     PERCENTILE_HEAD,
-    compare_reports,
     percentile_row,
     summarise_report,
 )
 from ..client import Fields, HttpcoreTransport, UsageError
-from ..output import format_table, with_progress, write_line
+from ..output import format_table, with_progress, write_json, write_line
 from .context import EXIT_DONE, EXIT_FAILED, Action, Context
 from .options import parse_flag, parse_number, parse_whole
 
@@ -126,10 +131,11 @@
         """
 
         async def perform() -> int:
-            lines = compare_reports(read_report(first), read_report(second))
-            for line in lines:
-                write_line(line)
-            return EXIT_DONE
+            compared = compare_reports(
+                read_report(first),
+                read_report(second),
+            )
+            return show_comparison(self._context, compared)
 
         return Action(perform)
 
@@ -154,7 +160,10 @@
             names = [name for name in (first, second) if name]
             reports = [read_report(name) for name in names]
             plot_reports(reports, names, out)
-            write_line(out)
+            if self._context.as_json:
+                write_json({'plot': out})
+            else:
+                write_line(out)
             return EXIT_DONE
 
         return Action(perform)
@@ -215,6 +224,21 @@
     return EXIT_DONE if report.kept else EXIT_FAILED
 
 
+def show_comparison(
+    context: Context,
+    compared: list[ComparedMeasure],
+) -> int:
+    """Writes two reports side by side."""
+    if context.as_json:
+        write_json(
+            [{**asdict(found), 'ratio': found.ratio} for found in compared]
+        )
+        return EXIT_DONE
+    for line in comparison_lines(compared):
+        write_line(line)
+    return EXIT_DONE
+
+
 def show_response(context: Context, report: ResponseReport, out: str) -> int:
     """Writes a response run's report; a wrong answer makes it fail."""
     write_report(report.encode(), out)
