--- a/packages/cli/cactushead_cli/main.py
+++ b/packages/cli/cactushead_cli/main.py
@@ -14,6 +14,7 @@
 
 PROGRAM = 'cactushead'
 EXIT_INTERRUPTED = 130
+HTTP_SERVER_ERROR = 500
 
 
 def main() -> None:
@@ -90,7 +91,7 @@
     lines = [f'  {found}' for found in error.findings]
     if error.not_run:
         lines.append('  nothing was run')
-    else:
+    elif error.status >= HTTP_SERVER_ERROR:
         lines.append('  it is not known that nothing was run')
     if error.retry_after_s:
         lines.append(f'  try again after {error.retry_after_s:g} s')
--- a/packages/cli/cactushead_cli/tests/test_main.py
+++ b/packages/cli/cactushead_cli/tests/test_main.py
@@ -3,6 +3,7 @@
 import json
 
 import pytest
+from cactushead_cli.client import RefusedError
 from cactushead_cli.main import run
 
 NOBODY = 'http://127.0.0.1:9'
@@ -98,3 +99,24 @@
     name = document_file(tmp_path, version=0)
     assert exit_code('document', 'submit', name, '--entry', NOBODY) == 1
     assert 'no entry answers' not in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ('status', 'not_run', 'told'),
+    [
+        (429, True, 'nothing was run'),
+        (504, False, 'it is not known that nothing was run'),
+        (404, False, ''),
+    ],
+)
+def test_refusal_tells_whether_it_was_run(
+    monkeypatch, capsys, status, not_run, told
+):
+    async def refuse(*_):
+        raise RefusedError(status, 'no', not_run)
+
+    monkeypatch.setattr('cactushead_cli.commands.root.show_status', refuse)
+    assert exit_code('status', 's', 'k') == 1
+    assert capsys.readouterr().err.splitlines()[1:] == (
+        [f'  {told}'] if told else []
+    )
