--- a/packages/node/cactushead_node/runtime.py
+++ b/packages/node/cactushead_node/runtime.py
@@ -1,5 +1,6 @@
 """The loop that feeds events to a reducer and performs its effects."""
 
+import gc
 import itertools
 import logging
 import time
@@ -32,6 +33,9 @@
 ENTRY_TICK_S = 0.05
 AGENT_TICK_S = 0.1
 SYNC_METRIC = 'sync_s'
+# Reducers make few cycles; a leader's many long-lived values would make the
+# default thresholds stop the loop often.
+VOTER_COLLECT_THRESHOLDS = (50_000, 20, 50)
 
 _log = logging.getLogger('cactushead.runtime')
 
@@ -133,8 +137,11 @@
 
     async def run(self) -> None:
         """Runs turns until it is cancelled."""
+        gc.collect()
+        gc.freeze()
         async with trio.open_nursery() as nursery:
             if self._storage is not None:
+                gc.set_threshold(*VOTER_COLLECT_THRESHOLDS)
                 nursery.start_soon(self._write, self._storage)
             while True:
                 self._run_turn(await self._inbox.take(self._next_tick_s))
