Keep only what a resubmission needs of an ended job

A resubmission is told by the digest and answered from the answer; placements are still needed for stale tasks of failed jobs only, so those of complete jobs and all inputs are dropped when the job ends. The number of tasks, which the status shows, is kept beside.

--- a/packages/core/cactushead_core/entry/jobs.py
+++ b/packages/core/cactushead_core/entry/jobs.py
@@ -222,11 +222,10 @@
         record = self._context.state.jobs.get(job_id)
         if record is None or record.answer is None:
             return None
-        tasks = len(record.request.tasks)
         return JobStatus(
             job_id,
             record.answer.state,
-            tasks,
-            tasks,
+            record.tasks,
+            record.tasks,
             record.answer,
         )
--- a/packages/core/cactushead_core/entry/state.py
+++ b/packages/core/cactushead_core/entry/state.py
@@ -1,10 +1,10 @@
 """State that all voters replicate, built from committed records."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..documents.model import ServiceDocument
 from ..errors import CactusheadError
-from ..jobs.model import JobAnswer, JobId, JobRequest
+from ..jobs.model import JobAnswer, JobId, JobRequest, JobState
 from ..jobs.records import (
     AgentGone,
     AgentRegistered,
@@ -28,10 +28,16 @@
 class JobRecord:
     """An admitted job.
 
+    Explanation:
+        Once it has ended, a resubmission needs the digest and the answer
+        only, so the tasks are dropped, and the placements of a complete job,
+        of which no upstream can still run any.
+
     Attributes:
-        request: The submission.
+        request: The submission; without tasks once the job has ended.
         document_version: Version of the document at admission.
         repeatable: Whether its kind was repeatable under that version.
+        tasks: Number of its tasks.
         placements: Newest placement by task index.
         answer: The final answer, once there is one.
     """
@@ -39,6 +45,7 @@
     request: JobRequest
     document_version: int
     repeatable: bool
+    tasks: int
     placements: dict[int, Placement] = field(default_factory=dict)
     answer: JobAnswer | None = None
 
@@ -50,6 +57,7 @@
     request: JobRequest
     document_version: int
     repeatable: bool
+    tasks: int
     placements: tuple[Placement, ...]
     answer: JobAnswer | None
 
@@ -139,6 +147,7 @@
             record.request,
             record.document_version,
             record.repeatable,
+            len(record.request.tasks),
             {placement.index: placement for placement in record.placements},
         )
 
@@ -162,6 +171,9 @@
         if job.answer is not None:
             raise StateInvariantError(f'job {record.answer.job} ended twice')
         job.answer = record.answer
+        job.request = replace(job.request, tasks=())
+        if record.answer.state is JobState.COMPLETE:
+            job.placements = {}
 
     def _apply_forgotten(self, record: JobsForgotten) -> None:
         for job in record.jobs:
@@ -192,6 +204,7 @@
         record.request,
         record.document_version,
         record.repeatable,
+        record.tasks,
         tuple(record.placements.values()),
         record.answer,
     )
@@ -202,6 +215,7 @@
         snapshot.request,
         snapshot.document_version,
         snapshot.repeatable,
+        snapshot.tasks,
         {placement.index: placement for placement in snapshot.placements},
         snapshot.answer,
     )
