--- a/packages/core/cactushead_core/scheduling/tests/test_fair.py
+++ b/packages/core/cactushead_core/scheduling/tests/test_fair.py
@@ -80,6 +80,23 @@
     assert 8 <= short / (len(order) - short) <= 12
 
 
+def test_callers_share_the_slots_of_a_single_turn():
+    scheduler = make(slots=80)
+    enqueue(scheduler, 'x', 200, caller='a')
+    enqueue(scheduler, 'y', 200, caller='b')
+    callers = [placed.task.caller for placed in scheduler.place(0.0)]
+    assert len(callers) == 80
+    assert 36 <= callers.count('a') <= 44
+
+
+def test_jobs_of_equal_rank_are_all_served():
+    scheduler = make(slots=8)
+    for key in ('x', 'y', 'z'):
+        enqueue(scheduler, key, 40)
+    running = scheduler.place(0.0)
+    assert len(turn_over(scheduler, 112, running)) == 112
+
+
 def test_smaller_job_of_a_caller_goes_first():
     scheduler = make(slots=1)
     enqueue(scheduler, 'large', 30)
@@ -129,6 +146,16 @@
     assert 2.0 <= started_s['large'] <= 3.5
 
 
+def test_reserved_task_starts_that_was_the_last_one_offered():
+    scheduler = make(cores=8.0)
+    enqueue(scheduler, 'first', 1, cores=1.0)
+    (running,) = scheduler.place(0.0)
+    enqueue(scheduler, 'large', 1, cores=8.0)
+    assert scheduler.place(3.0) == []
+    scheduler.task_ended('u1', outcome(running.task), 3.1)
+    assert [at.task.job.key for at in scheduler.place(3.1)] == ['large']
+
+
 def test_blocked_service_does_not_block_another():
     scheduler = make(services=('s', 't'), slots=2)
     enqueue(scheduler, 'x', 50, service='s', cores=100.0)
@@ -139,9 +166,13 @@
 def test_last_slots_are_kept_from_a_dominant_caller():
     scheduler = make(slots=80)
     enqueue(scheduler, 'flood', 200, caller='a')
-    assert len(scheduler.place(0.0)) == 78
+    running = scheduler.place(0.0)
+    assert len(running) == 78
     enqueue(scheduler, 'small', 2, caller='b')
     assert len(scheduler.place(0.0)) == 2
+    for placed in running[:10]:
+        scheduler.task_ended('u1', outcome(placed.task), 0.1)
+    assert len(scheduler.place(0.1)) == 8
 
 
 def test_flood_slows_a_small_caller_by_less_than_a_fifth():
@@ -162,3 +193,13 @@
 
 def make_fair():
     return Scheduler(FairOrder, SpreadPlacement())
+
+
+def test_new_estimate_loses_no_other_job_of_the_caller():
+    # The entry of the overtaking job was dropped from the caller's lane.
+    scheduler = make(slots=8)
+    enqueue(scheduler, 'first', 60)
+    enqueue(scheduler, 'second', 60)
+    order = turn_over(scheduler, 112, scheduler.place(0.0), long='first')
+    assert len(order) == 112
+    assert scheduler.waiting_tasks == 0
--- a/packages/node/cactushead_node/composition/entry.py
+++ b/packages/node/cactushead_node/composition/entry.py
@@ -74,7 +74,7 @@
         self._settings = settings
         self._storage = _open_storage(settings)
         config = _make_config(settings, self._storage)
-        inbox = Inbox(now)
+        inbox = Inbox()
         hello = Hello(
             config.name,
             PeerRole.ENTRY,
@@ -224,6 +224,7 @@
         synced_admission=settings.synced_admission,
         timing=settings.timing,
         bounds=settings.bounds,
+        policy=settings.policy,
         seed=zlib.crc32(incarnation.encode()),
     )
 
--- a/packages/node/cactushead_node/settings/parse.py
+++ b/packages/node/cactushead_node/settings/parse.py
@@ -9,8 +9,15 @@
 
 import ipaddress
 
-from cactushead_core.config import Bounds, Timing
+from cactushead_core.config import (
+    Bounds,
+    OrderName,
+    PlacementName,
+    Policy,
+    Timing,
+)
 from cactushead_core.documents.model import Label
+from cactushead_core.documents.names import NAME_RULE, is_name
 from cactushead_core.errors import SettingsError
 from cactushead_core.validation import FieldReader, load_json
 
@@ -34,6 +41,7 @@
 LONGEST_DURATION_S = 86_400.0
 HIGHEST_BOUND = 1e9
 HIGHEST_VOTERS = 7
+HIGHEST_DEPTH = 8
 LOG_LEVELS = ('debug', 'info', 'warning', 'error')
 
 _DEFAULT_UPSTREAM = UpstreamSettings('', 0)
@@ -78,7 +86,7 @@
 
 def _read_entry(reader: FieldReader) -> EntrySettings:
     settings = EntrySettings(
-        name=reader.text('name'),
+        name=_read_name(reader),
         cell=reader.text('cell'),
         data_centre=reader.text('data_centre'),
         callers=_read_address(reader, 'callers'),
@@ -88,6 +96,7 @@
         synced_admission=reader.flag('synced_admission', default=False),
         timing=_read_timing(reader),
         bounds=reader.positive_fields('bounds', Bounds, HIGHEST_BOUND),
+        policy=_read_policy(reader),
         log=_read_log(reader),
     )
     _check_voter(reader, settings)
@@ -98,7 +107,7 @@
 
 def _read_agent(reader: FieldReader) -> AgentSettings:
     return AgentSettings(
-        name=reader.text('name'),
+        name=_read_name(reader),
         cell=reader.text('cell'),
         data_centre=reader.text('data_centre'),
         rack=reader.text('rack', ''),
@@ -126,13 +135,13 @@
 
 def _read_upstream(reader: FieldReader) -> UpstreamSettings:
     default = _DEFAULT_UPSTREAM
-    labels = sorted(reader.texts_by_name('labels').items())
+    labels = _read_labels(reader)
     settings = UpstreamSettings(
         host=_read_host(reader),
         port=_read_port(reader),
         run_path=_read_path(reader, 'run_path', default.run_path),
         health_path=_read_path(reader, 'health_path', default.health_path),
-        labels=tuple(Label(name, text) for name, text in labels),
+        labels=labels,
         slots=_read_slots(reader),
         connections=reader.integer(
             'connections',
@@ -168,7 +177,7 @@
 
 def _read_voter(reader: FieldReader) -> VoterAddress:
     voter = VoterAddress(
-        name=reader.text('name'),
+        name=_read_name(reader),
         host=_read_host(reader),
         port=_read_port(reader),
     )
@@ -176,6 +185,22 @@
     return voter
 
 
+def _read_name(reader: FieldReader) -> str:
+    name = reader.text('name')
+    if name and not is_name(name):
+        reader.add('name', f'{NAME_RULE}, got {name!r:.80}')
+    return name
+
+
+def _read_labels(reader: FieldReader) -> tuple[Label, ...]:
+    """Reads labels; a selector could not name one of another form."""
+    texts = reader.texts_by_name('labels')
+    for name in texts:
+        if not is_name(name):
+            reader.add('labels', f'a name {NAME_RULE}, got {name!r:.80}')
+    return tuple(Label(label, text) for label, text in sorted(texts.items()))
+
+
 def _read_address(reader: FieldReader, name: str) -> Address:
     section = reader.section(name)
     address = Address(host=_read_host(section), port=_read_port(section))
@@ -225,6 +250,30 @@
     return timing
 
 
+def _read_policy(reader: FieldReader) -> Policy:
+    section = reader.section('policy', required=False)
+    orders = tuple(order.value for order in OrderName)
+    placements = tuple(placement.value for placement in PlacementName)
+    policy = Policy(
+        OrderName(section.choice('order', orders, OrderName.FAIR.value)),
+        PlacementName(
+            section.choice(
+                'placement',
+                placements,
+                PlacementName.SPREAD.value,
+            ),
+        ),
+        section.integer(
+            'queue_depth',
+            lowest=0,
+            highest=HIGHEST_DEPTH,
+            default=0,
+        ),
+    )
+    section.close()
+    return policy
+
+
 def _read_log(reader: FieldReader) -> LogSettings:
     section = reader.section('log', required=False)
     forms = tuple(form.value for form in LogForm)
