Keep an agent's waiting tasks apart from its other records

Cause: each assignment and each end of a run scanned all open records for tasks that wait, also the ended ones whose outcome isn't acknowledged yet. They are kept in a table of their own now, oldest first. Ruled out: an index of due outcomes, which only the timer reads, ten times a second.

--- a/packages/core/cactushead_core/agents/records.py
+++ b/packages/core/cactushead_core/agents/records.py
@@ -55,6 +55,7 @@
         """
         self._keep_s = keep_s
         self._open: dict[str, TaskRecord] = {}
+        self._queued: dict[str, Assignment] = {}
         self._closed: dict[str, int] = {}
         self._expiry: deque[tuple[float, str, int]] = deque()
         self._running = 0
@@ -104,10 +105,9 @@
             raise DoubleStartError(
                 f'task {assignment.task_id} is {earlier.stage} already',
             )
-        self._open[assignment.task_id] = TaskRecord(
-            assignment,
-            TaskStage.QUEUED,
-        )
+        task_id = assignment.task_id
+        self._open[task_id] = TaskRecord(assignment, TaskStage.QUEUED)
+        self._queued[task_id] = assignment
 
     def start(self, task_id: str) -> Assignment:
         """Notes that a task is started now.
@@ -127,6 +127,7 @@
             raise DoubleStartError(f'task {task_id} is {record.stage}')
         if self.was_closed(task_id, start):
             raise DoubleStartError(f'placement {start} of {task_id} is over')
+        del self._queued[task_id]
         record.stage = TaskStage.RUNNING
         self._running += 1
         return record.assignment
@@ -146,6 +147,7 @@
             return False
         if record.stage is TaskStage.RUNNING:
             self._running -= 1
+        self._queued.pop(outcome.task_id, None)
         record.stage = TaskStage.ENDED
         record.outcome = outcome
         record.sent_s = now_s
@@ -188,11 +190,7 @@
 
     def queued(self) -> list[Assignment]:
         """Returns the tasks that wait to be started, oldest first."""
-        return [
-            record.assignment
-            for record in self._open.values()
-            if record.stage is TaskStage.QUEUED
-        ]
+        return list(self._queued.values())
 
     def due_outcomes(self, now_s: float, resend_s: float) -> list[TaskOutcome]:
         """Returns outcomes to send again, with a growing pause.
