--- a/scripts/measure_leader.py
+++ b/scripts/measure_leader.py
@@ -5,7 +5,7 @@
     time; every frame crosses the wire codec. Only the leader's work is
     timed: decoding what it receives, its reducer, and encoding what it
     sends, once per loop turn as the runtime does it. Collections of
-    cyclic garbage run in the timed part. Clients submit through the
+    cyclic garbage run in the timed part, with a voter's thresholds. Clients submit through the
     three entries in turn and keep the slots busy.
 
 Examples:
@@ -40,6 +40,7 @@
 from cactushead_core.messages import Message, decode_frame, encode_frame
 from cactushead_core.reducer import Node
 from cactushead_core.replication import StoredLog
+from cactushead_node.runtime import VOTER_COLLECT_THRESHOLDS
 
 SERVICE = 'sample'
 KIND = 'echo'
@@ -190,19 +191,25 @@
         """Elects a leader, accepts the document and announces the agents."""
         while self.leader is None:
             self.step()
+        self.submit_document(version=1)
+        for _ in range(SETTLE_TURNS):
+            self.step()
+
+    def submit_document(self, version: int) -> None:
+        """Submits a version of the service's document to the leader."""
         document = ServiceDocument(
             SERVICE,
-            1,
+            version,
             'team',
             Selector(),
             Limits(concurrent_tasks=UNLIMITED, queue_tasks=UNLIMITED),
             (RequestKind(KIND, repeatable=self.profile.repeatable),),
-            digest=b'v1',
+            digest=f'v{version}'.encode(),
         )
         submitted = ev.DocumentSubmitted(self.now_s, 0, document)
-        self.leader.events.append(submitted)
-        for _ in range(SETTLE_TURNS):
-            self.step()
+        leader = self.leader
+        assert leader is not None, 'nobody leads'
+        leader.events.append(submitted)
 
     def load(self, tasks: int) -> None:
         """Runs until a number of tasks has started."""
@@ -479,6 +486,7 @@
         repeatable=not book,
     )
     gc.disable()
+    gc.set_threshold(*VOTER_COLLECT_THRESHOLDS)
     cell = Cell(load)
     cell.settle()
     cell.load(tasks // 5)
