Let the runtime be the request port itself

The port no longer stands in the package of the HTTP interface, so the adapter that kept an agent from loading that package is not needed.

--- a/packages/node/cactushead_node/composition/entry.py
+++ b/packages/node/cactushead_node/composition/entry.py
@@ -20,7 +20,6 @@
 from ..observability.reports import Reports
 from ..peers import Hello, PeerLinks
 from ..peers.listener import listen
-from ..requests import RuntimeRequests
 from ..runtime import ENTRY_TICK_S, Runtime
 from ..settings import EntrySettings, VoterAddress
 from ..status import EntryStatus, read_state
@@ -94,7 +93,6 @@
             observer=observation.observer,
             now=now,
         )
-        self._requests = RuntimeRequests(self._runtime)
         metrics.add_source('links', lambda: self._links.counters)
         metrics.add_source('state', lambda: read_state(node))
         reports = Reports(
@@ -108,7 +106,7 @@
     @property
     def requests(self) -> RequestPort:
         """The way to the entry's reducer."""
-        return self._requests
+        return self._runtime
 
     @property
     def status(self) -> EntryStatus:
@@ -176,7 +174,7 @@
         task_status: trio.TaskStatus[int],
     ) -> None:
         await serve_callers(
-            make_app(self._requests, self._status),
+            make_app(self._runtime, self._status),
             self._settings.callers.host,
             self._settings.callers.port,
             shutdown_trigger=partial(self._drain, stop),
--- a/packages/node/cactushead_node/ports.py
+++ b/packages/node/cactushead_node/ports.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Sequence
 
 from cactushead_core.effects import Count, Measure, Record, StartRun, StopRun
-from cactushead_core.events import CallerEvent, Event
+from cactushead_core.events import Event
 from cactushead_core.messages import Message
 
 MakeTimedEvent = Callable[[float], Event]
@@ -15,9 +15,6 @@
     frozen while an event waited so never decides by an old clock.
 """
 
-MakeCallerEvent = Callable[[float, int], CallerEvent]
-"""Makes a request's event from the clock and the request's number."""
-
 Deliver = Callable[[MakeTimedEvent], None]
 Clock = Callable[[], float]
 
--- a/packages/node/cactushead_node/runtime.py
+++ b/packages/node/cactushead_node/runtime.py
@@ -18,13 +18,13 @@
 from .inbox import Inbox
 from .ports import (
     Clock,
-    MakeCallerEvent,
     MakeTimedEvent,
     MessageTransport,
     NullObserver,
     Observer,
     UpstreamPort,
 )
+from .request_port import MakeEvent, RequestPort
 
 if TYPE_CHECKING:
     # An agent has no disk and doesn't load the storage.
@@ -50,7 +50,7 @@
         self.response: fx.Response | None = None
 
 
-class Runtime:
+class Runtime(RequestPort):
     """Runs one reducer on one loop.
 
     Explanation:
@@ -112,7 +112,7 @@
         """
         self._inbox.put(make_event)
 
-    async def request(self, make_event: MakeCallerEvent) -> fx.Response:
+    async def request(self, make_event: MakeEvent) -> fx.Response:
         """Feeds one request's event and returns the reducer's response.
 
         Args:
