--- a/scripts/measure_leader.py
+++ b/scripts/measure_leader.py
@@ -5,7 +5,8 @@
     time; every frame crosses the wire codec. Only the leader's work is
     timed: decoding what it receives, its reducer, and encoding what it
     sends, once per loop turn as the runtime does it. Collections of
-    cyclic garbage run in the timed part, with a voter's thresholds. Clients submit through the
+    cyclic garbage run in the timed part, with a voter's thresholds. Clients
+    submit through the
     three entries in turn and keep the slots busy.
 
 Examples:
