--- a/scripts/measure_leader.py
+++ b/scripts/measure_leader.py
@@ -6,8 +6,7 @@
     timed: decoding what it receives, its reducer, and encoding what it
     sends, once per loop turn as the runtime does it. Collections of
     cyclic garbage run in the timed part, with a voter's thresholds. Clients
-    submit through the
-    three entries in turn and keep the slots busy.
+    submit through the three entries in turn and keep the slots busy.
 
 Examples:
     python scripts/measure_leader.py --agents 500 --job_tasks 20
