Time the events of the gathering tests by a clock of their own

Cause: four events of three processes were expected in the order of their recording, but a millisecond that ended between them made two stamps equal and the names decided.

Also passes the end of the lease with each start, so that it is checked right before the request is written.

--- a/packages/core/cactushead_core/agents/node.py
+++ b/packages/core/cactushead_core/agents/node.py
@@ -354,7 +354,7 @@
                     self.config.name,
                 ),
             )
-            effects.append(StartRun(assignment))
+            effects.append(StartRun(assignment, self.lease.until_s))
 
     def _refuse_queued(self, now_s: float) -> None:
         if self.lease.holds(now_s):
--- a/packages/node/cactushead_node/observability/tests/test_gather.py
+++ b/packages/node/cactushead_node/observability/tests/test_gather.py
@@ -1,5 +1,7 @@
 """Tests of gathering time lines, over links that are plain calls."""
 
+import itertools
+
 import trio
 from cactushead_core.effects import EventKind, Record
 from cactushead_core.jobs import JobId
@@ -17,7 +19,13 @@
     def __init__(self, links, timeout_s=2.0):
         self.silent = set()
         self.sent = 0
-        self.timelines = {name: Timeline(name) for name in links}
+        # One clock that moves on with each reading, so that the order of
+        # the events doesn't hang on when a millisecond ends.
+        seconds = itertools.count(1)
+        self.timelines = {
+            name: Timeline(name, wall_clock=lambda: float(next(seconds)))
+            for name in links
+        }
         self.gatherers = {
             name: TimelineGatherer(
                 self.timelines[name],
