Let a follower answer an append once, as the leader's decisions need it

Cause: each append was answered twice, when held and when synced, though a decision waits for one of the two: repeatable requests and answers for the memory, all others for the sync. The leader says with the entries what it waits for; the other index comes with a later answer. Ruled out: fewer appends (one per loop turn already), dropping the record of a job's end.

--- a/packages/core/cactushead_core/entry/context.py
+++ b/packages/core/cactushead_core/entry/context.py
@@ -94,7 +94,16 @@
         commands = [encode_message(proposal.record) for proposal in proposals]
         for command, proposal in zip(commands, proposals, strict=True):
             self.own_records[command] = proposal.record
-        last_index = self.replica.propose(commands)
+        levels = {
+            waiting.synced
+            for waiting in proposals
+            if waiting.on_commit is not None
+        }
+        last_index = self.replica.propose(
+            commands,
+            memory_wanted=False in levels,
+            synced_wanted=True in levels,
+        )
         index = last_index - len(commands)
         for proposal in proposals:
             index += 1
--- a/packages/core/cactushead_core/replication/follower.py
+++ b/packages/core/cactushead_core/replication/follower.py
@@ -49,6 +49,7 @@
         self._assembly = Assembly()
         self._reply_due = False
         self._reported_synced_index = 0
+        self._synced_wanted_index = 0
         self._sequence = 0
         self._echo_s = 0.0
 
@@ -63,9 +64,12 @@
         if not self._agrees(previous, message.previous_term):
             self._reject(previous)
             return
-        self._reply_due = True
         self._take(message)
         last = previous + len(message.commands)
+        if message.synced_wanted:
+            self._synced_wanted_index = max(self._synced_wanted_index, last)
+        if message.memory_wanted or not message.synced_wanted:
+            self._reply_due = True
         self._verified_index = max(self._verified_index, last)
         self._commit(message.committed_index)
 
@@ -88,10 +92,10 @@
 
     def synced(self) -> None:
         """Notes that more of the log may be on disk."""
-        if (
-            self._follows()
-            and self._synced_index() > self._reported_synced_index
-        ):
+        synced_index = self._synced_index()
+        news = synced_index > self._reported_synced_index
+        wanted = self._reported_synced_index < self._synced_wanted_index
+        if self._follows() and news and wanted:
             self._reply_due = True
 
     def turn_ended(self) -> None:
@@ -109,6 +113,7 @@
             self._verified_term = message.term
             self._verified_index = 0
             self._reported_synced_index = 0
+            self._synced_wanted_index = 0
             self._assembly = Assembly()
             self._sequence = 0
         if message.sequence > self._sequence:
--- a/packages/core/cactushead_core/replication/leader.py
+++ b/packages/core/cactushead_core/replication/leader.py
@@ -52,11 +52,19 @@
         self._refresh_peers()
         self.append([b''])
 
-    def append(self, commands: list[bytes]) -> int:
+    def append(
+        self,
+        commands: list[bytes],
+        *,
+        memory_wanted: bool = True,
+        synced_wanted: bool = True,
+    ) -> int:
         """Appends commands; they leave at the end of the turn.
 
         Args:
             commands: Encoded records.
+            memory_wanted: Whether a decision waits until they are held.
+            synced_wanted: Whether a decision waits until they are synced.
 
         Returns:
             Index of the last entry.
@@ -68,6 +76,11 @@
             for index, command in enumerate(commands, log.last_index + 1)
         ]
         log.append(entries)
+        wanted = self._state.wanted
+        if memory_wanted:
+            wanted.memory_index = log.last_index
+        if synced_wanted:
+            wanted.synced_index = log.last_index
         return log.last_index
 
     def has_quorum(self, now_s: float) -> bool:
--- a/packages/core/cactushead_core/replication/messages.py
+++ b/packages/core/cactushead_core/replication/messages.py
@@ -116,6 +116,8 @@
         entry_term: Term of all entries sent.
         commands: Commands of the entries.
         committed_index: Index up to which a majority has synced.
+        memory_wanted: Whether a decision waits until the entries are held.
+        synced_wanted: Whether a decision waits until they are synced.
         sequence: Number of the message to this receiver in this term.
         sent_s: The leader's monotonic clock.
     """
@@ -127,6 +129,8 @@
     entry_term: int
     commands: tuple[bytes, ...]
     committed_index: int
+    memory_wanted: bool
+    synced_wanted: bool
     sequence: int
     sent_s: float
 
--- a/packages/core/cactushead_core/replication/replica.py
+++ b/packages/core/cactushead_core/replication/replica.py
@@ -97,11 +97,24 @@
         leader = self._parts.leading()
         return leader is not None and leader.has_quorum(now_s)
 
-    def propose(self, commands: list[bytes]) -> int:
+    def propose(
+        self,
+        commands: list[bytes],
+        *,
+        memory_wanted: bool = True,
+        synced_wanted: bool = True,
+    ) -> int:
         """Appends commands as entries; only the leader may call it.
 
+        Explanation:
+            A follower answers as soon as it holds the entries, or once it
+            has synced them, after what is wanted; both cost an answer more.
+            What is not wanted is told with a later answer.
+
         Args:
             commands: Encoded records.
+            memory_wanted: Whether a decision waits for `MemoryCommitted`.
+            synced_wanted: Whether a decision waits for `EntriesCommitted`.
 
         Returns:
             Index of the last of them.
@@ -111,7 +124,11 @@
             raise ReplicationInvariantError(
                 f'{self.settings.name} proposes but does not lead',
             )
-        return leader.append(commands)
+        return leader.append(
+            commands,
+            memory_wanted=memory_wanted,
+            synced_wanted=synced_wanted,
+        )
 
     def compact(self, index: int, state: bytes) -> ReplicaOutput:
         """Replaces the log up to an index by a snapshot of the state there.
--- a/packages/core/cactushead_core/replication/sender.py
+++ b/packages/core/cactushead_core/replication/sender.py
@@ -85,6 +85,8 @@
             entries[0].term if entries else 0,
             tuple([entry.command for entry in entries]),
             state.committed_index,
+            state.wanted.memory_index > previous,
+            state.wanted.synced_index > previous,
             progress.number_message(state.now_s),
             state.now_s,
         )
--- a/packages/core/cactushead_core/replication/state.py
+++ b/packages/core/cactushead_core/replication/state.py
@@ -44,6 +44,19 @@
     state: bytes
 
 
+@dataclass(slots=True)
+class WantedIndices:
+    """Last entries that decisions of the leader wait for.
+
+    Attributes:
+        memory_index: Last entry that a majority shall hold.
+        synced_index: Last entry that a majority shall have synced.
+    """
+
+    memory_index: int = 0
+    synced_index: int = 0
+
+
 class ReplicaState:
     """Term, vote, log and membership, with the rules that guard them."""
 
@@ -75,6 +88,7 @@
             stored.state,
         )
         self.snapshot_pending = False
+        self.wanted = WantedIndices()
         self.log = Log(
             stored.snapshot_index,
             stored.snapshot_term,
--- a/packages/core/cactushead_core/replication/tests/test_replica.py
+++ b/packages/core/cactushead_core/replication/tests/test_replica.py
@@ -126,6 +126,8 @@
         entry_term,
         commands,
         committed,
+        True,
+        True,
         sequence,
         5.0,
     )
