--- a/packages/core/cactushead_core/entry/state.py
+++ b/packages/core/cactushead_core/entry/state.py
@@ -16,8 +16,10 @@
     TasksPlaced,
 )
 from ..messages.base import Message, wire_type
+from ..messages.codec import decode_message, encode_message
 
 STATE_SNAPSHOT_CODE = 89
+JOB_SNAPSHOT_CODE = 90
 
 
 class StateInvariantError(CactusheadError):
@@ -40,6 +42,8 @@
         tasks: Number of its tasks.
         placements: Newest placement by task index.
         answer: The final answer, once there is one.
+        encoded: Encoded form of an ended job, kept for the next snapshots,
+            so that a snapshot doesn't stop the loop for all ended jobs.
     """
 
     request: JobRequest
@@ -48,10 +52,12 @@
     tasks: int
     placements: dict[int, Placement] = field(default_factory=dict)
     answer: JobAnswer | None = None
+    encoded: bytes = b''
 
 
+@wire_type(JOB_SNAPSHOT_CODE)
 @dataclass(frozen=True, slots=True)
-class JobSnapshot:
+class JobSnapshot(Message):
     """Encoded form of a `JobRecord`."""
 
     request: JobRequest
@@ -65,9 +71,9 @@
 @wire_type(STATE_SNAPSHOT_CODE)
 @dataclass(frozen=True, slots=True)
 class StateSnapshot(Message):
-    """Encoded form of a `ReplicatedState`."""
+    """Encoded form of a `ReplicatedState`; each job is encoded by itself."""
 
-    jobs: tuple[JobSnapshot, ...]
+    jobs: tuple[bytes, ...]
     agents: tuple[AgentRegistered, ...]
     documents: tuple[ServiceDocument, ...]
 
@@ -111,7 +117,12 @@
     def snapshot(self) -> StateSnapshot:
         """Returns the encoded form of the state."""
         return StateSnapshot(
-            tuple([_snapshot_job(record) for record in self.jobs.values()]),
+            tuple(
+                [
+                    record.encoded or _encode_job(record)
+                    for record in self.jobs.values()
+                ]
+            ),
             tuple(
                 [
                     AgentRegistered(agent, incarnation)
@@ -130,9 +141,8 @@
         Raises:
             StateInvariantError: The snapshot holds an older document.
         """
-        self.jobs = {
-            job.request.job: _restore_job(job) for job in snapshot.jobs
-        }
+        records = [_decode_job(encoded) for encoded in snapshot.jobs]
+        self.jobs = {record.request.job: record for record in records}
         self.agents = {
             agent.agent: agent.incarnation for agent in snapshot.agents
         }
@@ -163,6 +173,7 @@
                     f'{placement.job.task_id(placement.index)} is not new',
                 )
             job.placements[placement.index] = placement
+            job.encoded = b''
 
     def _apply_ended(self, record: JobEnded) -> None:
         job = self.jobs.get(record.answer.job)
@@ -174,6 +185,7 @@
         job.request = replace(job.request, tasks=())
         if record.answer.state is JobState.COMPLETE:
             job.placements = {}
+        job.encoded = _encode_job(job)
 
     def _apply_forgotten(self, record: JobsForgotten) -> None:
         for job in record.jobs:
@@ -199,18 +211,23 @@
         self.documents[document.service] = document
 
 
-def _snapshot_job(record: JobRecord) -> JobSnapshot:
-    return JobSnapshot(
-        record.request,
-        record.document_version,
-        record.repeatable,
-        record.tasks,
-        tuple(record.placements.values()),
-        record.answer,
+def _encode_job(record: JobRecord) -> bytes:
+    return encode_message(
+        JobSnapshot(
+            record.request,
+            record.document_version,
+            record.repeatable,
+            record.tasks,
+            tuple(record.placements.values()),
+            record.answer,
+        ),
     )
 
 
-def _restore_job(snapshot: JobSnapshot) -> JobRecord:
+def _decode_job(encoded: bytes) -> JobRecord:
+    snapshot = decode_message(encoded)
+    if not isinstance(snapshot, JobSnapshot):
+        raise StateInvariantError('a snapshot holds something but jobs')
     return JobRecord(
         snapshot.request,
         snapshot.document_version,
@@ -218,4 +235,5 @@
         snapshot.tasks,
         {placement.index: placement for placement in snapshot.placements},
         snapshot.answer,
+        b'' if snapshot.answer is None else encoded,
     )
