Show when a voter has its vote, and bound leases by both sides

A lease lasts for the shorter of the agent's own duration and the one that the leader grants, so that settings which differ can't let an agent start tasks after a new leader counts it out (test: lease is no longer than the leader counts with; failed before). The leader records when a document is in force at all connected processes. The gauge state.votes tells when a replaced disk counts again. Events that nothing recorded are gone, and so is a second, different Retry-After for a service that is not serving.

--- a/packages/core/cactushead_core/agents/lease.py
+++ b/packages/core/cactushead_core/agents/lease.py
@@ -14,7 +14,7 @@
 
     Examples:
         >>> lease = Lease(lease_s=2.0)
-        >>> lease.extend(echo_s=10.0)
+        >>> lease.extend(echo_s=10.0, granted_s=3.0)
         >>> lease.holds(11.9), lease.holds(12.1)
         (True, False)
 
@@ -26,13 +26,15 @@
     lease_s: float
     until_s: float = -1.0
 
-    def extend(self, echo_s: float) -> None:
-        """Extends the lease.
+    def extend(self, echo_s: float, granted_s: float) -> None:
+        """Extends the lease by the shorter of both sides' durations.
 
         Args:
             echo_s: The agent's clock in the granted heartbeat.
+            granted_s: Duration that the leader counts with.
         """
-        self.until_s = max(self.until_s, echo_s + self.lease_s)
+        duration_s = min(self.lease_s, granted_s)
+        self.until_s = max(self.until_s, echo_s + duration_s)
 
     def holds(self, now_s: float) -> bool:
         """Whether tasks may be started.
--- a/packages/core/cactushead_core/agents/node.py
+++ b/packages/core/cactushead_core/agents/node.py
@@ -283,7 +283,7 @@
                     detail=f'term {self.term}',
                 ),
             )
-        self.lease.extend(message.echo_s)
+        self.lease.extend(message.echo_s, message.lease_s)
 
     # Assignments and outcomes.
 
--- a/packages/core/cactushead_core/agents/tests/test_node.py
+++ b/packages/core/cactushead_core/agents/tests/test_node.py
@@ -146,6 +146,14 @@
     assert not starts(agent.assign(echo_s=10.5))
 
 
+def test_lease_is_no_longer_than_the_leader_counts_with():
+    agent = Agent()
+    agent.now_s = 13.0
+    agent.receive(LeaseGranted(3, 'a0-1', 13.0, 0.5))
+    agent.now_s = 13.6
+    assert not starts(agent.assign(echo_s=13.0))
+
+
 def test_new_term_ends_the_lease():
     agent = Agent()
     agent.receive(ReportWanted(4, 1, 'a0-1', 'e0'))
--- a/packages/core/cactushead_core/effects.py
+++ b/packages/core/cactushead_core/effects.py
@@ -159,8 +159,6 @@
     SUBMITTED = 'job submitted'
     FORWARDED = 'job forwarded'
     ADMITTED = 'job admitted'
-    REFUSED = 'job refused'
-    PLACED = 'task placed'
     ASSIGNED = 'task assigned'
     STARTED = 'task started'
     TASK_ENDED = 'task ended'
@@ -177,7 +175,6 @@
     UPSTREAM_EJECTED = 'upstream ejected'
     UPSTREAM_READMITTED = 'upstream readmitted'
     LEASE = 'lease granted'
-    LEASE_EXPIRED = 'lease expired'
     DRAIN = 'drain begun'
     DRAINED = 'drain done'
 
--- a/packages/core/cactushead_core/entry/admission.py
+++ b/packages/core/cactushead_core/entry/admission.py
@@ -1,6 +1,6 @@
 """Whether a submission is admitted, and the job that it becomes."""
 
-from ..documents.model import RequestKind, ServiceState
+from ..documents.model import RequestKind
 from ..errors import Finding
 from ..jobs.messages import SubmitJob
 from ..jobs.model import Refusal, RefusalReason
@@ -9,7 +9,6 @@
 from .job import OpenJob, OpenTask
 from .state import JobRecord
 
-NOT_SERVING_RETRY_S = 5.0
 TABLE_FULL_RETRY_S = 5.0
 
 
@@ -38,11 +37,6 @@
     if document.request_kind(request.kind) is None:
         finding = Finding('kind', f'{request.kind!r} is not declared')
         return Refusal(RefusalReason.INVALID, findings=(finding,))
-    if document.state is not ServiceState.SERVING:
-        return Refusal(
-            RefusalReason.NOT_SERVING,
-            retry_after_s=NOT_SERVING_RETRY_S,
-        )
     if open_jobs + len(context.state.jobs) >= config.bounds.jobs:
         return Refusal(
             RefusalReason.QUEUE_FULL,
--- a/packages/core/cactushead_core/entry/documents.py
+++ b/packages/core/cactushead_core/entry/documents.py
@@ -239,6 +239,15 @@
 
     def _answer(self, confirmation: Confirmation, pending: set[str]) -> None:
         document = confirmation.document
+        if not pending:
+            self._context.effects.append(
+                Record(
+                    EventKind.DOCUMENT_HELD,
+                    subject=document.service,
+                    detail=f'version {document.version}',
+                    logged=True,
+                ),
+            )
         holding = set(self._held) - pending
         holding.add(self._context.config.name)
         waiter = confirmation.waiter
--- a/packages/core/cactushead_core/entry/node.py
+++ b/packages/core/cactushead_core/entry/node.py
@@ -126,6 +126,11 @@
         """Whether a leader is known and a link to it is up."""
         return self.gateway.leader in self.gateway.connected
 
+    @property
+    def votes(self) -> bool:
+        """Whether this entry's disk counts in majorities."""
+        return self._replica is not None and self._replica.votes
+
     def _reduce(self, event: Event, effects: list[Effect]) -> None:
         if not isinstance(event, TurnEnded):
             self._feed_replica(event, effects)
--- a/packages/core/cactushead_core/replication/replica.py
+++ b/packages/core/cactushead_core/replication/replica.py
@@ -84,6 +84,11 @@
         """Whether this voter is the leader of its term."""
         return self._state.role is Role.LEADER
 
+    @property
+    def votes(self) -> bool:
+        """Whether this disk counts in majorities, as far as it knows."""
+        return self._state.is_voter
+
     def has_quorum(self, now_s: float) -> bool:
         """Whether no other leader can have been elected yet.
 
--- a/packages/node/cactushead_node/composition/entry.py
+++ b/packages/node/cactushead_node/composition/entry.py
@@ -94,7 +94,7 @@
             now=now,
         )
         metrics.add_source('links', lambda: self._links.counters)
-        metrics.add_source('state', lambda: read_state(node))
+        metrics.add_source('state', lambda: read_state(node), gauges=True)
         reports = Reports(
             observation.timeline,
             metrics,
--- a/packages/node/cactushead_node/status.py
+++ b/packages/node/cactushead_node/status.py
@@ -15,10 +15,12 @@
     Attributes:
         leads: 1 if the entry leads its cell, else 0.
         ready: 1 if it can serve requests now, else 0.
+        votes: 1 if its disk counts in majorities, else 0.
     """
 
     leads: int
     ready: int
+    votes: int
 
 
 class EntryStatus(StatusPort):
@@ -82,4 +84,8 @@
     Args:
         node: The entry's reducer.
     """
-    return EntryState(int(node.leader is not None), int(node.ready))
+    return EntryState(
+        leads=int(node.leader is not None),
+        ready=int(node.ready),
+        votes=int(node.votes),
+    )
