Keep a failed start's record until its restart is recorded

Cause: the leader acknowledged a known failure as soon as it decided on a restart. When it died before the next placement was in the log, the agent had forgotten the start, and the next leader answered a cancellation with not_run for a task that had run. Found by following the promise through a leader change; test_leader_dies_between_a_failure_and_the_restart failed before (not_run was true) and passes now. The agent's repetition is acknowledged once a newer placement stands.

--- a/packages/core/cactushead_core/entry/outcomes.py
+++ b/packages/core/cactushead_core/entry/outcomes.py
@@ -189,7 +189,8 @@
         task.failures += 1
         failed = outcome.status is OutcomeStatus.FAILED
         if failed and self._may_restart(job, outcome, now_s):
-            self._registry.acknowledge(view.name, outcome.task_id)
+            # The agent keeps the outcome until it repeats it behind a newer
+            # placement: a new leader must not take the start for unmade.
             self._placer.enqueue(job, outcome.index, now_s)
             return
         error = f'task {outcome.index} {outcome.status}: {outcome.error}'
--- a/packages/core/cactushead_core/entry/tests/test_faults.py
+++ b/packages/core/cactushead_core/entry/tests/test_faults.py
@@ -175,6 +175,27 @@
     assert response.answer.not_run is not ran
 
 
+def test_leader_dies_between_a_failure_and_the_restart(cluster):
+    # The agent's record of the failed start is all that a new leader has.
+    for name in ('a0', 'a1', 'a2'):
+        cluster.processes[name].upstream.fail = True
+    set_run_time(cluster, 0.3)
+    asked = submit(cluster, 'k', 1, 'retry')
+    cluster.run(0.1)
+    leader = cluster.leaders[0]
+    for voter in cluster.voters:
+        if voter != leader:
+            cluster.cut_one_way(leader, voter)
+    cluster.run(0.5)
+    assert sum(cluster.starts.values()) == 1
+    cluster.crash(leader)
+    cluster.heal()
+    cluster.ask('e3', JobCancelRequested, sample_request('k').job)
+    response = answer(cluster, asked)
+    assert response.answer.state is JobState.FAILED
+    assert not response.answer.not_run
+
+
 def test_cancel_waits_for_the_word_of_the_agent(cluster):
     for name in ('a0', 'a1', 'a2'):
         cluster.processes[name].frozen = True
