--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -159,6 +159,8 @@
     slots: int = 8,
     base_port: int = 8471,
     sample: bool = True,
+    order: str = 'fair',
+    placement: str = 'spread',
 ) -> None:
     """Runs a cluster until SIGTERM or SIGINT.
 
@@ -169,10 +171,14 @@
         slots: Slots of each upstream.
         base_port: Callers' port of the first entry.
         sample: Whether to submit the document of service `sample`.
+        order: The scheduler's order of waiting tasks.
+        placement: The scheduler's choice of the upstream.
     """
     signal.signal(signal.SIGTERM, _interrupt)
     folder = Path(dir)
-    plans = ClusterLayout(folder, base_port, slots).plan(entries, agents)
+    policy = {'order': order, 'placement': placement}
+    layout = ClusterLayout(folder, base_port, slots, policy)
+    plans = layout.plan(entries, agents)
     cluster = Cluster(plans, folder)
     ready = _run_until_interrupted(cluster, sample=sample)
     stopped = cluster.stop()
--- a/scripts/cluster_layout.py
+++ b/scripts/cluster_layout.py
@@ -53,14 +53,22 @@
 class ClusterLayout:
     """Writes the settings of a cluster into a folder."""
 
-    def __init__(self, folder: Path, base_port: int, slots: int) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        base_port: int,
+        slots: int,
+        policy: dict[str, str],
+    ) -> None:
         """Makes the folder.
 
         Args:
             folder: Folder for settings, logs, starts and data.
             base_port: Callers' port of the first entry.
             slots: Slots of each upstream.
+            policy: The entries' policies of the scheduler.
         """
+        self._policy = policy
         self._folder = folder.resolve()
         self._base_port = base_port
         self._slots = slots
@@ -115,6 +123,7 @@
             'callers': {'host': LOOPBACK, 'port': port},
             'peers': {'host': LOOPBACK, 'port': port + PEERS_OFFSET},
             'voters': self._voters,
+            'policy': self._policy,
         }
         if number < len(self._voters):
             settings['data_dir'] = f'{self._folder}/data/{name}'
