--- a/packages/core/cactushead_core/entry/node.py
+++ b/packages/core/cactushead_core/entry/node.py
@@ -38,7 +38,7 @@
     TermMismatch,
 )
 from ..messages.base import Message
-from ..messages.codec import decode_message, encode_message
+from ..messages.codec import decode_message
 from ..reducer import Node
 from ..replication import (
     EntriesCommitted,
@@ -54,10 +54,10 @@
     SnapshotWanted,
     StoredLog,
 )
+from .applied import AppliedLog
 from .gateway import Gateway
 from .leader import Leader
 from .policy import make_scheduler
-from .state import ReplicatedState, StateInvariantError, StateSnapshot
 
 _ANSWERS = (
     JobAccepted,
@@ -88,7 +88,7 @@
             now_s: Monotonic clock.
         """
         self.config = config
-        self.state = ReplicatedState()
+        self.applied = AppliedLog()
         self.gateway = Gateway(config)
         self.leader: Leader | None = None
         self.held = HeldVersions(config.name, config.incarnation)
@@ -96,20 +96,8 @@
         self._peers: dict[str, Peer] = {}
         self._loopback: deque[Message] = deque()
         self._memory_index = 0
-        self._synced_index = 0
         self._drained = False
-        self._replica: Replica | None = None
-        if config.disk_incarnation:
-            settings = ReplicaSettings(
-                config.name,
-                config.disk_incarnation,
-                config.voters,
-                heartbeat_s=config.timing.append_s,
-                election_timeout_s=config.timing.election_s,
-                drift=config.timing.drift,
-                seed=config.seed,
-            )
-            self._replica = Replica(settings, stored, now_s)
+        self._replica = _make_replica(config, stored, now_s)
         self._notice_handlers = {
             LeaderKnown: self._on_leader_known,
             LeaderReady: self._on_leader_ready,
@@ -240,7 +228,7 @@
         self.leader = Leader(
             self.config,
             self._replica,
-            self.state,
+            self.applied.state,
             make_scheduler(self.config),
             now_s,
         )
@@ -289,14 +277,7 @@
         now_s: float,
         effects: list[Effect],
     ) -> None:
-        for entry in notice.entries:
-            if entry.index != self._synced_index + 1:
-                raise StateInvariantError(
-                    f'entry {entry.index} follows {self._synced_index}',
-                )
-            self._synced_index = entry.index
-            if entry.command:
-                self.state.apply(self._read_record(entry.command))
+        self.applied.apply(notice.entries, self._read_record)
         self._release(now_s)
 
     def _read_record(self, command: bytes) -> Message:
@@ -311,10 +292,7 @@
         now_s: float,
         effects: list[Effect],
     ) -> None:
-        snapshot = decode_message(notice.state)
-        if isinstance(snapshot, StateSnapshot):
-            self.state.restore(snapshot)
-        self._synced_index = notice.index
+        self.applied.install(notice.index, notice.state)
 
     def _on_snapshot_wanted(
         self,
@@ -324,15 +302,17 @@
     ) -> None:
         if self._replica is None:
             return
-        blob = encode_message(self.state.snapshot())
-        output = self._replica.compact(self._synced_index, blob)
+        output = self._replica.compact(
+            self.applied.index,
+            self.applied.encode(),
+        )
         self._take_output(output, now_s, effects)
 
     def _release(self, now_s: float) -> None:
         if self.leader is not None:
             self.leader.committed(
                 self._memory_index,
-                self._synced_index,
+                self.applied.index,
                 now_s,
             )
 
@@ -452,3 +432,22 @@
         effects: list[Effect],
     ) -> None:
         effects.append(Send(sender.name, self.held.take(message)))
+
+
+def _make_replica(
+    config: EntryConfig,
+    stored: StoredLog,
+    now_s: float,
+) -> Replica | None:
+    if not config.disk_incarnation:
+        return None
+    settings = ReplicaSettings(
+        config.name,
+        config.disk_incarnation,
+        config.voters,
+        heartbeat_s=config.timing.append_s,
+        election_timeout_s=config.timing.election_s,
+        drift=config.timing.drift,
+        seed=config.seed,
+    )
+    return Replica(settings, stored, now_s)
--- a/packages/core/cactushead_core/entry/tests/test_faults.py
+++ b/packages/core/cactushead_core/entry/tests/test_faults.py
@@ -243,7 +243,7 @@
         cluster.run(1.0)
     cluster.heal()
     cluster.run(3.0)
-    state = cluster.processes[follower].node.state
+    state = cluster.processes[follower].node.applied.state
     assert state.documents['sample'].version == 5
 
 
@@ -255,7 +255,7 @@
         cluster.run(0.02)
     cluster.start(follower)
     cluster.run(5.0)
-    state = cluster.processes[follower].node.state
+    state = cluster.processes[follower].node.applied.state
     assert state.documents['sample'].version == 399
 
 
--- a/packages/core/cactushead_core/entry/tests/test_safety.py
+++ b/packages/core/cactushead_core/entry/tests/test_safety.py
@@ -182,7 +182,7 @@
                 self.cluster.clock(process)
             ):
                 continue
-            held = node.state.documents.get('sample')
+            held = node.applied.state.documents.get('sample')
             assert self.accepted <= (held.version if held else 0)
 
     def teardown(self):
