--- a/scripts/measure_spread.py
+++ b/scripts/measure_spread.py
@@ -12,7 +12,7 @@
 import gc
 
 import fire
-from measure_leader import NS_PER_S, SERVICE, Cell, LeaderCosts, Profile
+from leader_cell import NS_PER_S, SERVICE, Cell, LeaderCosts, Profile
 
 US_PER_NS = 1e-3
 IDLE_S = 10.0
