--- a/packages/core/cactushead_core/entry/gateway.py
+++ b/packages/core/cactushead_core/entry/gateway.py
@@ -13,6 +13,7 @@
 from ..effects import (
     AcceptedResponse,
     AnswerResponse,
+    Count,
     DocumentResponse,
     DocumentsResponse,
     Effect,
@@ -120,6 +121,7 @@
         """
         refusal = self._find_refusal(event)
         if refusal is not None:
+            effects.append(Count('refusals', refusal.reason))
             response = RefusalResponse(refusal)
             effects.append(Respond(event.request_id, response))
             return
@@ -248,13 +250,13 @@
                     RefusalReason.NO_LEADER,
                     retry_after_s=RETRY_AFTER_S,
                 )
-                self._finish(exchange, RefusalResponse(refusal), effects)
+                self._refuse(exchange, refusal, effects)
             elif now_s > exchange.end_s:
                 refusal = Refusal(
                     RefusalReason.NO_ANSWER,
                     not_run=not exchange.forwarded,
                 )
-                self._finish(exchange, RefusalResponse(refusal), effects)
+                self._refuse(exchange, refusal, effects)
         self._forward_open(now_s, effects)
 
     def _mine(self, attempt: Attempt) -> bool:
@@ -305,6 +307,15 @@
             )
         effects.append(Send(self.leader, message))
 
+    def _refuse(
+        self,
+        exchange: Exchange,
+        refusal: Refusal,
+        effects: list[Effect],
+    ) -> None:
+        effects.append(Count('refusals', refusal.reason))
+        self._finish(exchange, RefusalResponse(refusal), effects)
+
     def _finish(
         self,
         exchange: Exchange,
--- a/packages/core/cactushead_core/entry/tests/test_path.py
+++ b/packages/core/cactushead_core/entry/tests/test_path.py
@@ -240,6 +240,16 @@
     assert len(process.upstream.starts) == count
 
 
+def test_request_without_a_leader_was_not_run(cluster):
+    cluster.crash('e0')
+    response = answer(cluster, submit(cluster, sample_request('k'), 'e1'))
+    assert response.refusal.reason is RefusalReason.NO_LEADER
+    assert response.refusal.not_run
+    cluster.start('e0')
+    cluster.run(10.0)
+    assert not cluster.starts
+
+
 def test_entry_drains_after_its_answers(cluster):
     request_id = submit(cluster, sample_request('k', 8), 'e1')
     cluster.run(0.05)
