--- a/packages/core/cactushead_core/entry/tests/test_faults.py
+++ b/packages/core/cactushead_core/entry/tests/test_faults.py
@@ -12,6 +12,7 @@
 )
 from cactushead_core.events import (
     DocumentSubmitted,
+    DrainRequested,
     JobCancelRequested,
     JobSubmitted,
     MessageReceived,
@@ -209,6 +210,31 @@
     assert answer(cluster, asked).answer.state is JobState.FAILED
 
 
+def test_agent_drains_while_the_leader_changes(cluster):
+    set_run_time(cluster, 1.0)
+    asked = submit(cluster, 'k', 6)
+    cluster.run(0.2)
+    process = cluster.processes['a0']
+    process.inbox.append(DrainRequested(cluster.clock(process)))
+    cluster.crash(cluster.leaders[0])
+    response = answer(cluster, asked)
+    assert response.answer.state is JobState.COMPLETE
+    assert cluster.run_until(lambda: 'a0' in cluster.drained)
+    assert started_once(cluster)
+
+
+def test_entry_drains_while_the_leader_changes(cluster):
+    set_run_time(cluster, 1.0)
+    asked = submit(cluster, 'k', 6)
+    cluster.run(0.2)
+    process = cluster.processes['e3']
+    process.inbox.append(DrainRequested(cluster.clock(process)))
+    cluster.crash(cluster.leaders[0])
+    response = answer(cluster, asked)
+    assert response.answer.state is JobState.COMPLETE
+    assert cluster.run_until(lambda: 'e3' in cluster.drained)
+
+
 def test_racing_operators_exactly_one_wins(cluster):
     ours = sample_document(2)
     theirs = dataclasses.replace(ours, digest=b'theirs')
