Take an agent that left out of the registry at once

Cause: an agent that had drained stayed registered until its lease and a grace time were over. A leader change within these 6 s made the next leader wait for its report, and then fail the jobs that were queued. Found by following a rolling restart through the takeover barrier; test_leader_dies_after_an_agent _has_left failed before and passes now.

--- a/packages/core/cactushead_core/entry/agents.py
+++ b/packages/core/cactushead_core/entry/agents.py
@@ -58,6 +58,12 @@
     cancels: dict[str, TaskRef] = field(default_factory=dict)
     acknowledged: list[str] = field(default_factory=list)
 
+    @property
+    def has_left(self) -> bool:
+        """Whether it reported, takes no more work and holds none."""
+        settled = self.reported and not self.gone
+        return settled and self.leaving and not self.tasks
+
     @property
     def takes_work(self) -> bool:
         """Whether it may be given tasks, lease aside."""
@@ -148,10 +154,14 @@
             now_s: Monotonic clock.
         """
         view = self.views.get(name)
-        if view is not None:
-            view.connected = False
-            _expect_report(view)
-            self._context.scheduler.set_unavailable(name, now_s)
+        if view is None:
+            return
+        self._context.scheduler.set_unavailable(name, now_s)
+        if view.has_left:
+            # A later leader need not wait for its report.
+            self._give_up(view, 'left')
+        view.connected = False
+        _expect_report(view)
 
     def tick(self, now_s: float) -> list[AgentView]:
         """Ends leases, repeats cancellations and sends acknowledgements.
@@ -328,21 +338,24 @@
                 continue
             self._context.scheduler.set_unavailable(view.name, now_s)
             if now_s > view.lease_end_s + self._timing.gone_s:
-                view.gone = True
                 gone.append(view)
-                self._context.registrations.append(
-                    Proposal(AgentGone(view.name, view.incarnation)),
-                )
-                self._context.effects.append(
-                    Record(
-                        EventKind.UPSTREAM_GONE,
-                        subject=view.name,
-                        detail='lease ended',
-                        logged=True,
-                    ),
-                )
+                self._give_up(view, 'lease ended')
         return gone
 
+    def _give_up(self, view: AgentView, cause: str) -> None:
+        view.gone = True
+        self._context.registrations.append(
+            Proposal(AgentGone(view.name, view.incarnation)),
+        )
+        self._context.effects.append(
+            Record(
+                EventKind.UPSTREAM_GONE,
+                subject=view.name,
+                detail=cause,
+                logged=True,
+            ),
+        )
+
 
 def _expect_report(view: AgentView) -> None:
     # Reports and assignments of the earlier epoch count no more.
--- a/packages/core/cactushead_core/entry/tests/test_faults.py
+++ b/packages/core/cactushead_core/entry/tests/test_faults.py
@@ -354,6 +354,20 @@
     assert started_once(cluster)
 
 
+def test_leader_dies_after_an_agent_has_left(cluster):
+    # The next leader must not wait for the report of an agent that left.
+    set_run_time(cluster, 1.0)
+    process = cluster.processes['a0']
+    process.inbox.append(DrainRequested(cluster.clock(process)))
+    assert cluster.run_until(lambda: 'a0' in cluster.drained)
+    cluster.crash('a0')
+    asked = submit(cluster, 'k', 12)
+    cluster.run(0.3)
+    cluster.crash(cluster.leaders[0])
+    response = answer(cluster, asked)
+    assert response.answer.state is JobState.COMPLETE
+
+
 def test_entry_drains_while_the_leader_changes(cluster):
     set_run_time(cluster, 1.0)
     asked = submit(cluster, 'k', 6)
