Don't follow a hint that names the asking entry as leader

Cause: after a restart, a leader's peers still name it as leader of its term. Its gateway took that from a late answer, sent the request to itself, answered itself that it doesn't lead, and went round within one loop turn for ever. An entry now decides itself whether it leads, and an answer without a newer term waits for the next tick. test_hint_that_names_this_entry_is_not_followed hung before (ended after 15 s) and passes now.

--- a/packages/core/cactushead_core/entry/gateway.py
+++ b/packages/core/cactushead_core/entry/gateway.py
@@ -234,7 +234,15 @@
         exchange = self._exchanges.get(message.attempt.sequence)
         if exchange is not None and self._mine(message.attempt):
             exchange.sent_term = -1
-        self.leader_known(message.term, message.leader, now_s, effects)
+        # This process knows itself whether it leads. Without a newer term
+        # the next tick sends the request again, so that a stale hint can't
+        # keep it in this turn.
+        itself = message.leader == self._config.name
+        leader = '' if itself else message.leader
+        if message.term > self.term:
+            self.leader_known(message.term, leader, now_s, effects)
+        elif leader and message.term == self.term:
+            self.leader = leader
 
     def tick(self, now_s: float, effects: list[Effect]) -> None:
         """Ends exchanges that got no answer in time.
--- a/packages/core/cactushead_core/entry/tests/test_faults.py
+++ b/packages/core/cactushead_core/entry/tests/test_faults.py
@@ -477,6 +477,27 @@
     assert not cluster.starts
 
 
+def test_hint_that_names_this_entry_is_not_followed(cluster):
+    # A restarted leader was sent round in its own process for ever.
+    follower = next(v for v in cluster.voters if v not in cluster.leaders)
+    process = cluster.processes[follower]
+    for other in cluster.processes:
+        if other != follower:
+            cluster.cut(follower, other)
+    cluster.run(0.2)
+    submit(cluster, 'k', entry=follower)
+    cluster.run(0.1)
+    term = process.node.gateway.term
+    for named in (follower, ''):
+        for later in (0, 1):
+            attempt = Attempt(follower, process.peer.incarnation, 1)
+            message = TermMismatch(attempt, term + later, named)
+            now_s = cluster.clock(process)
+            sender = cluster.processes['e3'].peer
+            effects = receive(process.node, sender, message, now_s)
+            assert not sent(effects, SubmitJob)
+
+
 def test_late_copy_of_a_refused_request_stays_refused(cluster):
     # The sender was told that the request was not run.
     process = cluster.processes[cluster.leaders[0]]
