Call the cut of a leader's appends by one name and drop dead code

Three fault tests cut the leader from the voters by the same loop. The end of a turn collected the leader's effects twice in a row, and a property of the scheduler's upstreams was read by nobody. Behaviour is unchanged.

--- a/packages/core/cactushead_core/entry/node.py
+++ b/packages/core/cactushead_core/entry/node.py
@@ -147,7 +147,6 @@
         if self.leader is not None:
             self.leader.flush(event.now_s)
         self._feed_replica(event, effects)
-        self._collect(effects)
         self._drain_loopback(event.now_s, effects)
         if self.gateway.draining and self.gateway.idle and not self._drained:
             self._drained = True
--- a/packages/core/cactushead_core/entry/tests/cluster.py
+++ b/packages/core/cactushead_core/entry/tests/cluster.py
@@ -264,6 +264,12 @@
     def cut_one_way(self, source: str, target: str) -> None:
         self.cuts.add((source, target))
 
+    def cut_appends(self, leader: str) -> None:
+        """Swallows what a leader sends to the other voters."""
+        for voter in self.voters:
+            if voter != leader:
+                self.cut_one_way(leader, voter)
+
     def heal(self) -> None:
         # What a cut swallowed shows as a broken link, as with TCP.
         for source, target in sorted(self.cuts):
--- a/packages/core/cactushead_core/entry/tests/test_faults.py
+++ b/packages/core/cactushead_core/entry/tests/test_faults.py
@@ -76,9 +76,7 @@
 @pytest.mark.parametrize('kind', KINDS)
 def test_nothing_starts_before_a_majority_holds_the_record(cluster, kind):
     leader = cluster.leaders[0]
-    for voter in cluster.voters:
-        if voter != leader:
-            cluster.cut_one_way(leader, voter)
+    cluster.cut_appends(leader)
     submit(cluster, 'k', 3, kind, leader)
     cluster.run(0.2)
     assert cluster.leaders == [leader]
@@ -182,9 +180,7 @@
     leader = cluster.leaders[0]
     submit(cluster, 'fill', 6, 'book', leader)
     cluster.run(0.3)
-    for voter in cluster.voters:
-        if voter != leader:
-            cluster.cut_one_way(leader, voter)
+    cluster.cut_appends(leader)
     submit(cluster, 'k', 3, 'echo', leader)
     cluster.run(0.3)
     assert cluster.leaders == [leader]
@@ -315,9 +311,7 @@
     asked = submit(cluster, 'k', 1, 'retry')
     cluster.run(0.1)
     leader = cluster.leaders[0]
-    for voter in cluster.voters:
-        if voter != leader:
-            cluster.cut_one_way(leader, voter)
+    cluster.cut_appends(leader)
     cluster.run(0.5)
     assert sum(cluster.starts.values()) == 1
     cluster.crash(leader)
--- a/packages/core/cactushead_core/scheduling/model.py
+++ b/packages/core/cactushead_core/scheduling/model.py
@@ -125,11 +125,6 @@
     memory_booked_mb: float = 0.0
     room: int = 0
 
-    @property
-    def free_slots(self) -> int:
-        """Slots that nothing occupies."""
-        return self.spec.slots - len(self.tasks)
-
     def refresh(self) -> None:
         """Counts the room anew after any other field changed."""
         if self.reserved or not self.available:
