--- a/packages/core/cactushead_core/entry/tests/cluster.py
+++ b/packages/core/cactushead_core/entry/tests/cluster.py
@@ -459,3 +459,9 @@
     digest = f'{key}{tasks}{kind}'.encode()
     job = JobId(SERVICE, key)
     return JobRequest(job, 'caller', kind, deadline_s, specs, digest)
+
+
+def answer(cluster, request_id):
+    """Runs until a request is answered and returns its response."""
+    assert cluster.run_until(lambda: request_id in cluster.responses)
+    return cluster.responses[request_id]
--- a/packages/core/cactushead_core/entry/tests/test_faults.py
+++ b/packages/core/cactushead_core/entry/tests/test_faults.py
@@ -7,6 +7,7 @@
 from cactushead_core.effects import AnswerResponse, DocumentResponse
 from cactushead_core.entry.tests.cluster import (
     Cluster,
+    answer,
     sample_document,
     sample_request,
 )
@@ -45,11 +46,6 @@
     return cluster.ask(entry, JobSubmitted, request, True)
 
 
-def answer(cluster, asked):
-    assert cluster.run_until(lambda: asked in cluster.responses)
-    return cluster.responses[asked]
-
-
 def set_run_time(cluster, run_s):
     for process in cluster.processes.values():
         if process.upstream:
--- a/packages/core/cactushead_core/entry/tests/test_path.py
+++ b/packages/core/cactushead_core/entry/tests/test_path.py
@@ -12,6 +12,7 @@
 from cactushead_core.entry.tests.cluster import (
     SERVICE,
     Cluster,
+    answer,
     sample_document,
     sample_request,
 )
@@ -34,11 +35,6 @@
     return cluster
 
 
-def answer(cluster, request_id):
-    assert cluster.run_until(lambda: request_id in cluster.responses)
-    return cluster.responses[request_id]
-
-
 def submit_document(cluster, document):
     response = answer(cluster, cluster.ask('e0', DocumentSubmitted, document))
     assert isinstance(response, DocumentResponse)
