Lease upstreams of the project's own protocol

The interface of leased upstreams had one implementation, the platform's. HttpLeasedUpstream keeps run numbers, fencing tokens, leases and the list of ends in the agent's process, over the blocking exchange of today. One contract test, nine cases, runs against both; it found that the stand-in of an upstream let stops and renewals with an earlier token pass, which it now refuses as the published protocol says.

Pools of connections are made in one place.

--- a/packages/core/cactushead_core/fleet/tests/upstream.py
+++ b/packages/core/cactushead_core/fleet/tests/upstream.py
@@ -6,6 +6,7 @@
 from cactushead_core.leasing import (
     EndRow,
     LeasesRenewed,
+    RenewalFailed,
     RenewLeases,
     RunningRow,
     StartAnswer,
@@ -174,8 +175,17 @@
         )
 
     def stop(self, call: StopLeased, now_s: float) -> Event:
-        """Carries out a stop call."""
+        """Carries out a stop call, but not one with an earlier token."""
         self.advance(now_s)
+        if call.token < self._token:
+            return StopAnswered(
+                now_s,
+                call.upstream,
+                call.task,
+                call.run,
+                confirmed=False,
+            )
+        self._token = call.token
         highest = self._highest.get(call.task, 0)
         self._highest[call.task] = max(highest, call.run)
         live = self.running.get(call.task)
@@ -191,8 +201,17 @@
         )
 
     def renew(self, call: RenewLeases, sent_s: float, now_s: float) -> Event:
-        """Carries out a renewal."""
+        """Carries out a renewal, but not one with an earlier token."""
         self.advance(now_s)
+        if call.token < self._token:
+            return RenewalFailed(
+                now_s,
+                call.upstream,
+                refused=False,
+                fenced=True,
+                cause='fence',
+            )
+        self._token = call.token
         self._ends = [
             row for row in self._ends if row.number > call.acknowledged
         ]
--- a/packages/node/cactushead_node/upstreams/__init__.py
+++ b/packages/node/cactushead_node/upstreams/__init__.py
@@ -1,6 +1,7 @@
 """HTTP client for upstreams and the sample upstream."""
 
 from .client import UpstreamClient
+from .leased import HttpLeasedUpstream
 from .target import UpstreamTarget
 
-__all__ = ['UpstreamClient', 'UpstreamTarget']
+__all__ = ['HttpLeasedUpstream', 'UpstreamClient', 'UpstreamTarget']
--- a/packages/node/cactushead_node/upstreams/exchange.py
+++ b/packages/node/cactushead_node/upstreams/exchange.py
@@ -136,21 +136,6 @@
         self.written = True
 
 
-def make_pool(connections: int) -> httpcore.AsyncConnectionPool:
-    """Makes a bounded pool that never repeats a request by itself.
-
-    Args:
-        connections: Largest number of connections.
-    """
-    return httpcore.AsyncConnectionPool(
-        max_connections=connections,
-        max_keepalive_connections=connections,
-        keepalive_expiry=KEEPALIVE_S,
-        retries=0,
-        network_backend=httpcore.TrioBackend(),
-    )
-
-
 async def _read_body(response: httpcore.Response) -> bytes:
     chunks: list[bytes] = []
     size_bytes = 0
