Hand the leadership over when the leader stops

A leader that got SIGTERM led on until it ended, and its followers then waited for an election timeout of 0.6 to 1.2 s. It now gives up its lease at once and asks the voter that holds the whole log to stand for election; voters grant such a request although they heard the leader a moment ago, since its lease is over (Ongaro 2014, section 3.10). A new leader tells everybody so in its first turn, not with its next ping.

Tests: the cell's random faults, in both hypothesis machines and the long runs, hand over too, and the invariant on quorums holds; a leader that drains is followed within 0.2 s of virtual time (failed before: nobody led then).

--- a/packages/core/cactushead_core/fleet/entry.py
+++ b/packages/core/cactushead_core/fleet/entry.py
@@ -72,6 +72,7 @@
         self._leader_term = 0
         self._told_version = 0
         self._drained = False
+        self._led = False
 
     @property
     def leader(self) -> str:
@@ -195,7 +196,10 @@
         leads = self.voter.leads_now(now_s)
         if leads:
             self.configuration.confirmed(self.configuration.version, now_s)
-        if self.discovery.tick(now_s, effects):
+        # A new leader says so at once.
+        news = leads and not self._led
+        self._led = leads
+        if self.discovery.tick(now_s, effects) or news:
             ping = Ping(self.voter.term, leads, self.configuration.version)
             effects.extend(
                 Send(name, ping) for name in self.discovery.connected
@@ -273,6 +277,7 @@
                 logged=True,
             ),
         )
+        self.voter.hand_over(effects)
 
     def _spread(self, effects: list[Effect]) -> None:
         """Tells all entries of a new version, if this one leads."""
--- a/packages/core/cactushead_core/fleet/tests/test_faults.py
+++ b/packages/core/cactushead_core/fleet/tests/test_faults.py
@@ -7,6 +7,7 @@
     ConfigurationStored,
     NewestConfiguration,
 )
+from cactushead_core.events import DrainRequested
 from cactushead_core.tasks import JobEnd
 
 from .test_path import agents, assert_promises, ends
@@ -279,3 +280,18 @@
     assert ends(world, [number]) == [JobEnd.COMPLETED]
     assert len(world.leaders()) == 1
     assert world.entry('e3').configuration.version == 1
+
+
+def test_leader_that_drains_is_followed_at_once():
+    world = World()
+    world.run(5)
+    world.configure('e3', 7)
+    world.run(1)
+    (old,) = world.leaders()
+    world.feed(old, DrainRequested)
+    world.run(0.2)
+    (new,) = world.leaders()
+    assert new != old
+    stored = world.configure('e3', 9)
+    world.run(0.3)
+    assert isinstance(world.answers[stored], ConfigurationStored)
--- a/packages/core/cactushead_core/fleet/voter.py
+++ b/packages/core/cactushead_core/fleet/voter.py
@@ -91,6 +91,11 @@
         if isinstance(event, TurnEnded) and self.leads:
             self._keeper.answer_stored(effects)
 
+    def hand_over(self, effects: list[Effect]) -> None:
+        """Lets another voter lead, since this process is about to stop."""
+        if self.replica is not None:
+            self._take(self.replica.hand_over(), effects)
+
     def leads_now(self, now_s: float) -> bool:
         """Whether this entry leads under a valid lease."""
         return (
--- a/packages/core/cactushead_core/replication/election.py
+++ b/packages/core/cactushead_core/replication/election.py
@@ -5,7 +5,9 @@
     leader stickiness (Ongaro 2014, sections 9.6 and 6.4.1): a replica that
     heard a leader within the shortest election timeout votes for nobody,
     not even when the candidate's term is higher. A replica that has just
-    started may have heard a leader before, and waits as long.
+    started may have heard a leader before, and waits as long. An election
+    that the leader asked for (section 3.10) needs no such wait, since that
+    leader has given up its lease.
 
     A vote leaves the process only after it is on disk.
 """
@@ -35,6 +37,7 @@
         self._saved_term = state.term
         self._saved_vote = state.voted_for
         self._grants: set[tuple[str, str]] = set()
+        self._handed_over = False
         self._restart_timeout()
 
     @property
@@ -47,6 +50,24 @@
         self._heard_s = self._state.now_s
         self._restart_timeout()
 
+    def leadership_given_up(self) -> None:
+        """Leaves the next election to others for a while."""
+        self._restart_timeout()
+
+    def handed_over(self, term: int) -> None:
+        """Stands for election at once, as the leader asks.
+
+        Args:
+            term: Term of that leader.
+        """
+        state = self._state
+        if term != state.term or state.role is Role.LEADER:
+            return
+        if state.is_voter:
+            state.follow(term)
+            self._become_candidate()
+            self._handed_over = True
+
     def tick(self) -> bool:
         """Starts an election when no leader is heard.
 
@@ -96,7 +117,7 @@
         """
         if request.pre_vote:
             self._answer_pre_vote(request)
-        elif not self._is_sticky():
+        elif request.handed_over or not self._is_sticky():
             self._answer_vote(request)
 
     def replied(self, reply: VoteReply) -> bool:
@@ -148,6 +169,7 @@
         state = self._state
         state.enter_term(state.term + 1, state.settings.name)
         state.role = Role.CANDIDATE
+        self._handed_over = False
         self._grants = set()
         self._restart_timeout()
 
@@ -170,6 +192,7 @@
                 log.last_term,
                 log.last_index,
                 pre_vote,
+                self._handed_over and not pre_vote,
             )
             state.send(voter.name, request)
 
--- a/packages/core/cactushead_core/replication/leader.py
+++ b/packages/core/cactushead_core/replication/leader.py
@@ -7,6 +7,8 @@
     Ousterhout 2014, section 5.4.2).
 """
 
+from operator import attrgetter
+
 from ..effects import LogEntry
 from .invariants import require
 from .membership import (
@@ -18,7 +20,7 @@
     replace_disk,
     replace_member,
 )
-from .messages import AppendReply, Member, SnapshotReply
+from .messages import AppendReply, LeadNow, Member, SnapshotReply
 from .notices import LeaderReady, MemoryCommitted
 from .progress import Progress, Transfer
 from .quorum import majority_value
@@ -157,6 +159,27 @@
             progress.transfer = Transfer(snapshot, reply.received_bytes)
             progress.send_due = True
 
+    def hand_over(self) -> bool:
+        """Asks the voter that holds most of the log to lead at once.
+
+        Returns:
+            Whether there is one that holds all of it and was heard of late;
+            then this replica leads no more.
+        """
+        state = self._state
+        best = max(
+            self._voting_peers,
+            key=attrgetter('match_index', 'heard_s'),
+            default=None,
+        )
+        if best is None or best.match_index < state.log.last_index:
+            return False
+        if self._is_silent(best):
+            return False
+        state.follow(state.term)
+        state.send(best.name, LeadNow(state.term))
+        return True
+
     def peer_connected(self, name: str) -> None:
         """Finds out at once what a peer holds whose link is new."""
         progress = self._peers.get(name)
--- a/packages/core/cactushead_core/replication/messages.py
+++ b/packages/core/cactushead_core/replication/messages.py
@@ -73,6 +73,8 @@
         last_term: Term of its last entry.
         last_index: Index of its last entry.
         pre_vote: Whether it only asks if it could win.
+        handed_over: Whether the leader of the term before asked for the
+            election, and has given up its lease.
     """
 
     term: int
@@ -81,6 +83,7 @@
     last_term: int
     last_index: int
     pre_vote: bool
+    handed_over: bool = False
 
 
 @wire_type(63)
@@ -227,3 +230,15 @@
     """
 
     members: tuple[Member, ...]
+
+
+@wire_type(69)
+@dataclass(frozen=True, slots=True)
+class LeadNow(Message):
+    """A leader that stops asks a voter to stand for election at once.
+
+    Attributes:
+        term: The leader's term; its lease is over.
+    """
+
+    term: int
--- a/packages/core/cactushead_core/replication/receiver.py
+++ b/packages/core/cactushead_core/replication/receiver.py
@@ -11,6 +11,7 @@
     AppendEntries,
     AppendReply,
     InstallSnapshot,
+    LeadNow,
     MembershipQuery,
     MembershipReport,
     SnapshotReply,
@@ -61,6 +62,7 @@
             AppendReply: self._append_reply,
             VoteRequest: self._vote_request,
             VoteReply: self._vote_reply,
+            LeadNow: self._lead_now,
             InstallSnapshot: self._install_snapshot,
             SnapshotReply: self._snapshot_reply,
             MembershipQuery: self._membership_query,
@@ -151,6 +153,9 @@
     def _vote_reply(self, sender: Peer, message: VoteReply) -> None:
         self._parts.lead_if(self._parts.election.replied(message))
 
+    def _lead_now(self, sender: Peer, message: LeadNow) -> None:
+        self._parts.election.handed_over(message.term)
+
     def _membership_query(
         self,
         sender: Peer,
--- a/packages/core/cactushead_core/replication/replica.py
+++ b/packages/core/cactushead_core/replication/replica.py
@@ -135,6 +135,17 @@
             synced_wanted=synced_wanted,
         )
 
+    def hand_over(self) -> ReplicaOutput:
+        """Lets another voter lead at once, if one holds the whole log.
+
+        Returns:
+            Effects and notices.
+        """
+        leader = self._parts.leading()
+        if leader is not None and leader.hand_over():
+            self._parts.election.leadership_given_up()
+        return self._state.take_output()
+
     def look_for(self, names: tuple[str, ...]) -> None:
         """Asks these processes, too, to be admitted while it is no voter.
 
--- a/packages/core/cactushead_core/replication/tests/cell.py
+++ b/packages/core/cactushead_core/replication/tests/cell.py
@@ -191,6 +191,11 @@
             self.early_losses.add(name)
         self.processes[name].disk = Disk(self._fresh(f'disk-{name}'))
 
+    def hand_over(self, name):
+        process = self.processes[name]
+        if process.replica is not None and not process.frozen:
+            self.take(process, process.replica.hand_over())
+
     def running(self):
         return [
             process
--- a/packages/core/cactushead_core/replication/tests/faults.py
+++ b/packages/core/cactushead_core/replication/tests/faults.py
@@ -31,6 +31,7 @@
             self.slow_disk,
             self.slow_disk,
             *[self.recover] * 4,
+            *[self.hand_over] * 2,
         )
 
     def step(self):
@@ -95,6 +96,9 @@
     def crash_leader(self):
         self.cell.crash(self.leader_name())
 
+    def hand_over(self):
+        self.cell.hand_over(self.leader_name())
+
     def uncut(self):
         self.cell.cuts.clear()
 
--- a/packages/core/cactushead_core/replication/tests/test_cell.py
+++ b/packages/core/cactushead_core/replication/tests/test_cell.py
@@ -159,3 +159,37 @@
     cell.run(100)
     assert cell.leader() is leader
     assert len(cell.leaders) == 1
+
+
+@pytest.mark.parametrize('size', [3, 5])
+def test_leader_that_stops_is_followed_at_once(size):
+    cell = Cell(size)
+    old = cell.run_until_ready()
+    commit(cell)
+    cell.hand_over(old.name)
+    assert not old.replica.leads
+    cell.settle()
+    cell.settle()
+    new = cell.leader()
+    assert new is not None
+    assert new is not old
+    cell.heal()
+
+
+def test_leader_whose_voters_are_behind_goes_on():
+    cell = Cell(3)
+    leader = cell.run_until_ready()
+    cell.propose(leader.name)
+    cell.hand_over(leader.name)
+    assert leader.replica.leads
+
+
+def test_leader_that_hands_over_to_nobody_is_followed_after_a_timeout():
+    cell = Cell(3)
+    old = cell.run_until_ready()
+    commit(cell)
+    term = old.replica.term
+    cell.hand_over(old.name)
+    cell.messages.clear()
+    assert cell.run_until_ready().replica.term > term
+    cell.heal()
