Stop runs that stand still and place their tasks elsewhere

Cause: tasks at an upstream that stands still held their room until the caller's deadline; nothing read the progress that each list of runs states.

The agent now compares the progress of each run between lists, on the upstream's clock, so that a list read late by a frozen agent proves nothing. A run without any for 0.2 s, or for 8 % of its expected time, is stopped and ends as stalled; queued tasks go back to their owners, who count it against the upstream as they do a failure. A stall doesn't count as a failed start.

What lists mean is a class of its own now (RunLists), out of LeaseKeeper.

Ruled out: progress against expected run time, which takes slow upstreams and cold starts for stalled ones.

The test fails without the change (jobs never complete).

--- a/packages/core/cactushead_core/dispatch/dispatcher.py
+++ b/packages/core/cactushead_core/dispatch/dispatcher.py
@@ -26,6 +26,9 @@
 from .responses import BestEffortEnded, WithdrawAnswered
 from .settings import DispatchSettings
 
+# Ends that speak against the upstream.
+_FAULTS = frozenset((RunEnd.FAILED, RunEnd.STALLED))
+
 
 class Dispatcher:
     """Open jobs, the agents' state, and who gets which task.
@@ -377,9 +380,10 @@
             ),
         )
         task.avoided.add(view.name)
+        if run_result.end in _FAULTS:
+            view.observe_end(now_s, failed=True)
         if run_result.end is RunEnd.FAILED:
             task.failures += 1
-            view.observe_end(now_s, failed=True)
         if task.failures >= opened.job.max_starts:
             end = BestEffortEnded(JobEnd.FAILED, 'a task failed too often')
             self._end(opened, end, now_s, effects)
--- a/packages/core/cactushead_core/fleet/tests/upstream.py
+++ b/packages/core/cactushead_core/fleet/tests/upstream.py
@@ -35,6 +35,7 @@
         ends_s: When it ends by itself, or is stopped.
         lease_ms: End of its lease on the stand-in's clock.
         end: How it will end at `ends_s`.
+        left_s: Work that is left while it stands still.
     """
 
     run: int
@@ -42,6 +43,7 @@
     ends_s: float
     lease_ms: int
     end: RunEnd
+    left_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -94,6 +96,7 @@
         self.born_ms = 1
         self.needs: dict[TaskRef, Room] = {}
         self.failing = False
+        self.hanging = False
         self._ends: list[EndRow] = []
         self._number = 0
         self._highest: dict[TaskRef, int] = {}
@@ -141,6 +144,13 @@
         self._token = 0
         self._sequence = 0
 
+    def hang(self, now_s: float) -> None:
+        """Lets what runs and what comes stand still."""
+        self.hanging = True
+        for live in self.running.values():
+            live.left_s = live.ends_s - now_s
+            live.ends_s = float('inf')
+
     def advance(self, now_s: float) -> None:
         """Ends the runs whose time or lease is over."""
         for task, live in list(self.running.items()):
@@ -225,7 +235,7 @@
             sent_s,
             self._clock_ms(now_s),
             tuple(
-                RunningRow(task, live.run, 0)
+                RunningRow(task, live.run, self._percent(live, now_s))
                 for task, live in self.running.items()
             ),
             tuple(self._ends),
@@ -244,6 +254,9 @@
             lease_ms,
             end,
         )
+        if self.hanging:
+            live = self.running[call.task]
+            live.left_s, live.ends_s = self.run_s, float('inf')
         history = self.history
         places = history.live.setdefault(call.task, set())
         if places:
@@ -268,5 +281,9 @@
         self.running.pop(task)
         self.history.live[task].discard(self.name)
 
+    def _percent(self, live: LiveRun, now_s: float) -> int:
+        left_s = live.left_s or live.ends_s - now_s
+        return int(100 * (1 - min(left_s / self.run_s, 1.0)))
+
     def _clock_ms(self, now_s: float) -> int:
         return 5000 * self.born_ms + int(now_s * 1000)
--- a/packages/core/cactushead_core/leasing/leases.py
+++ b/packages/core/cactushead_core/leasing/leases.py
@@ -1,6 +1,6 @@
 """What an agent does with the tasks at its upstream."""
 
-from ..effects import Count, Effect, Measure, Record
+from ..effects import Count, Effect, Record
 from ..events import Peer
 from ..tasks import OfferTasks, RunEnd, TaskRef, TaskRun
 from .calls import UpstreamCalls
@@ -13,16 +13,14 @@
     UpstreamLeft,
 )
 from .life import UpstreamLife
-from .model import Announcement, EndRow, StartAnswer, UpstreamIdentity
+from .lists import RunLists
+from .model import Announcement, StartAnswer, UpstreamIdentity
 from .outbox import Outbox
-from .runs import LeasedRun, Phase, RunTable
+from .runs import LeasedRun, Phase, RunTable, note
 from .sessions import Sessions
 from .settings import LeasingSettings
 from .stops import Stops
 
-# Weight of the newest run in the mean run time: about the last ten count.
-TYPICAL_WEIGHT = 0.1
-
 
 class LeaseKeeper:
     """Queue, room and leases of one upstream.
@@ -48,11 +46,16 @@
         self._life = UpstreamLife(longest_s)
         self._stops = Stops(self._calls, settings.retry_s)
         self._sessions = Sessions(self.runs)
-        self._outbox = Outbox()
+        self._outbox = Outbox(self.runs)
+        self._lists = RunLists(
+            self.runs,
+            self._calls,
+            self._stops,
+            self._outbox,
+        )
         self._draining = False
         self._report_due = False
         self._lost_owners: dict[Peer, float] = {}
-        self._typical_s = 0.0
         self._load_due_s = 0.0
 
     @property
@@ -173,7 +176,7 @@
                 if run.phase is Phase.STARTING:
                     run.phase = Phase.RUNNING
             case StartAnswer.UNKNOWN:
-                effects.append(_note('start unanswered', run, event.cause))
+                effects.append(note('start unanswered', run, event.cause))
                 self._stops.begin(run, None, 'start unanswered', event.now_s)
                 self._stops.repeat_all(
                     self.runs, self.upstream, event.now_s, effects
@@ -181,8 +184,10 @@
             case _:
                 if event.answer is StartAnswer.FENCED:
                     self._calls.raise_token(effects)
-                effects.append(_note('start refused', run, event.cause))
-                self._finish(run, RunEnd.RETURNED, event.now_s, event.cause)
+                effects.append(note('start refused', run, event.cause))
+                self._outbox.finish(
+                    run, RunEnd.RETURNED, event.now_s, event.cause
+                )
 
     def stop_answered(
         self,
@@ -205,9 +210,7 @@
         self._adopt_life(event.upstream, effects)
         self._calls.clock.observe(event.clock_ms, event.now_s)
         acknowledged = self._calls.acknowledged
-        for row in event.ended:
-            self._take_end(row, event.now_s, effects)
-        self._compare(event, effects)
+        self._lists.take(event, self.upstream, effects)
         if acknowledged == self._calls.acknowledged:
             # Without news an answer that came early is asked for less often.
             spent_s = event.now_s - event.sent_s
@@ -269,7 +272,7 @@
         self._report_due = False
         if now_s >= self._load_due_s:
             self._load_due_s = now_s + self._settings.load_s
-            self._sessions.tell_load(self._typical_s, effects)
+            self._sessions.tell_load(self._lists.typical_s, effects)
 
     def drain(self, now_s: float) -> None:
         """Starts nothing more and hands queued tasks back."""
@@ -330,58 +333,6 @@
             )
             effects.append(renewal)
 
-    def _take_end(
-        self,
-        row: EndRow,
-        now_s: float,
-        effects: list[Effect],
-    ) -> None:
-        if row.number <= self._calls.acknowledged:
-            return
-        self._calls.acknowledged = row.number
-        run = self.runs.find(row.task)
-        if run is None or run.run != row.run or run.phase is Phase.QUEUED:
-            return
-        end = row.end
-        if end is RunEnd.STOPPED and run.end is not None:
-            end = run.end
-        if end is RunEnd.DONE:
-            ran_s = now_s - run.began_s
-            effects.append(Measure('run_s', ran_s))
-            self._typical_s += TYPICAL_WEIGHT * (ran_s - self._typical_s)
-        self._finish(run, end, now_s, run.cause)
-
-    def _compare(self, event: LeasesRenewed, effects: list[Effect]) -> None:
-        """Compares the listed runs with those that should be there."""
-        listed = {(row.task, row.run) for row in event.running}
-        expected = set()
-        for run in self.runs.at_upstream():
-            key = (run.task, run.run)
-            expected.add(key)
-            if key not in listed:
-                self._take_absence(run, event.sent_s, event.now_s, effects)
-        if self.upstream is not None:
-            self._calls.stop_strangers(
-                listed - expected,
-                self.upstream,
-                event.now_s,
-                effects,
-            )
-
-    def _take_absence(
-        self,
-        run: LeasedRun,
-        sent_s: float,
-        now_s: float,
-        effects: list[Effect],
-    ) -> None:
-        """Ends a run that a list shows neither running nor ended."""
-        if run.phase is Phase.RUNNING and run.answered_s < sent_s:
-            effects.append(_note('run lost', run, 'not listed'))
-            self._finish(run, RunEnd.LOST, now_s, 'not listed')
-        elif run.phase is Phase.STOPPING and 0 < run.stopped_s < sent_s:
-            self._finish(run, run.end or RunEnd.LOST, now_s, run.cause)
-
     def _end_early(
         self,
         run: LeasedRun,
@@ -484,22 +435,12 @@
     def _report_change(self, now_s: float) -> None:
         if not self.ready:
             for run in self.runs.queued():
-                self._finish(run, RunEnd.RETURNED, now_s, 'not ready')
+                self._outbox.finish(run, RunEnd.RETURNED, now_s, 'not ready')
         self._report_due = True
 
     def _finish_all(self, end: RunEnd, cause: str, now_s: float) -> None:
         for run in self.runs.at_upstream():
-            self._finish(run, run.end or end, now_s, cause)
-
-    def _finish(
-        self,
-        run: LeasedRun,
-        end: RunEnd,
-        now_s: float,
-        cause: str,
-    ) -> None:
-        self.runs.remove(run)
-        self._outbox.add(run, end, now_s, cause)
+            self._outbox.finish(run, run.end or end, now_s, cause)
 
 
 def _make_run(
@@ -526,13 +467,3 @@
         or known.labels != news.labels
         or known.service != news.service
     )
-
-
-def _note(kind: str, run: LeasedRun, cause: str) -> Record:
-    task = run.task
-    return Record(
-        kind,
-        subject=f'{task.job}.{task.step}.{task.index}',
-        detail=f'run {run.run}: {cause or run.cause}',
-        logged=True,
-    )
--- a/packages/core/cactushead_core/leasing/model.py
+++ b/packages/core/cactushead_core/leasing/model.py
@@ -80,7 +80,7 @@
     Attributes:
         task: The task.
         run: Number of the run.
-        percent: Progress as the upstream states it.
+        percent: Progress as the upstream states it, -1 if it doesn't.
     """
 
     task: TaskRef
--- a/packages/core/cactushead_core/leasing/outbox.py
+++ b/packages/core/cactushead_core/leasing/outbox.py
@@ -3,14 +3,19 @@
 from ..effects import Effect, Send
 from ..events import Peer
 from ..tasks import RunEnd, RunResult, RunsEnded
-from .runs import LeasedRun
+from .runs import LeasedRun, RunTable
 
 
 class Outbox:
     """Ends of runs per owner, sent as one message a turn."""
 
-    def __init__(self) -> None:
-        """Starts empty."""
+    def __init__(self, runs: RunTable) -> None:
+        """Starts empty.
+
+        Args:
+            runs: The agent's runs.
+        """
+        self._runs = runs
         self._results: dict[Peer, list[RunResult]] = {}
 
     def add(
@@ -32,6 +37,24 @@
         ended = RunResult(run.task, run.run, end, ran_s, cause)
         self._results.setdefault(run.owner, []).append(ended)
 
+    def finish(
+        self,
+        run: LeasedRun,
+        end: RunEnd,
+        now_s: float,
+        cause: str,
+    ) -> None:
+        """Forgets a run and adds its end.
+
+        Args:
+            run: A run of the agent's table.
+            end: How it ended.
+            now_s: The agent's clock.
+            cause: Short text for logs.
+        """
+        self._runs.remove(run)
+        self.add(run, end, now_s, cause)
+
     def send(self, effects: list[Effect]) -> None:
         """Sends all results to their owners."""
         for owner, results in self._results.items():
--- a/packages/core/cactushead_core/leasing/runs.py
+++ b/packages/core/cactushead_core/leasing/runs.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from ..effects import Record
 from ..events import Peer
 from ..tasks import Room, RunEnd, TaskRef
 
@@ -41,6 +42,8 @@
         stop_due_s: When the next stop call is due.
         stop_open: Whether a stop call is open.
         stopped_s: When a stop was confirmed; 0 before.
+        percent: Its progress in the newest list; -1 before the first.
+        advanced_ms: Upstream's clock when that was first seen.
         end: What the owner is told once a stopping run is gone; None when
             the upstream's list decides.
         cause: Why it is stopped.
@@ -59,6 +62,8 @@
     stop_due_s: float = 0.0
     stop_open: bool = False
     stopped_s: float = 0.0
+    percent: int = -1
+    advanced_ms: int = 0
     end: RunEnd | None = None
     cause: str = ''
 
@@ -121,3 +126,20 @@
             self.queued_cpu_m -= run.needs.cpu_m
         else:
             self.booked -= run.needs
+
+
+def note(kind: str, run: LeasedRun, cause: str) -> Record:
+    """Returns a log line about a run.
+
+    Args:
+        kind: What happened.
+        run: The run.
+        cause: Why; empty for the cause of its end.
+    """
+    task = run.task
+    return Record(
+        kind,
+        subject=f'{task.job}.{task.step}.{task.index}',
+        detail=f'run {run.run}: {cause or run.cause}',
+        logged=True,
+    )
--- a/packages/core/cactushead_core/tasks/model.py
+++ b/packages/core/cactushead_core/tasks/model.py
@@ -69,10 +69,20 @@
 
     Explanation:
         After each of them the run is over for certain, or never began.
+
+    Attributes:
+        DONE: It did its work.
+        FAILED: It failed, by its own fault or its upstream's.
+        STALLED: It made no progress and was stopped for that.
+        STOPPED: It was stopped.
+        LAPSED: Its lease ended.
+        LOST: It ended without a trace.
+        RETURNED: It never began.
     """
 
     DONE = 'done'
     FAILED = 'failed'
+    STALLED = 'stalled'
     STOPPED = 'stopped'
     LAPSED = 'lapsed'
     LOST = 'lost'
--- a/packages/node/cactushead_node/upstreams/lease_book.py
+++ b/packages/node/cactushead_node/upstreams/lease_book.py
@@ -14,6 +14,7 @@
 # The agent beside it may lose its renewals that long; see the agent's
 # settings, which ask for no longer lease.
 LONGEST_LEASE_MS = 1000
+UNKNOWN_PERCENT = -1
 
 
 @dataclass(slots=True)
@@ -169,7 +170,8 @@
     def running(self) -> tuple[RunningRow, ...]:
         """Returns the runs that the upstream has or may have."""
         return tuple(
-            RunningRow(task, run.run, 0) for task, run in self._runs.items()
+            RunningRow(task, run.run, UNKNOWN_PERCENT)
+            for task, run in self._runs.items()
         )
 
     def ends(self) -> tuple[EndRow, ...]:
