Serve more in time when more work comes than there is room for

- An agent's queue went by earliest start, so tasks that were late already made the next ones late.
Late tasks now go last.
- Admission looked at one task of a job, at declared times.
The entry now plans all tasks before it offers any, and refuses a job whose last task is expected to end past the objective, by learned times; nothing is refused for a slow upstream with room.
- Entries with views some milliseconds old filled one agent while others had room.
A task that expects room and finds none goes back at once and on to another agent, twice at most.
An agent tells its load after each offer, so that none counts as unseen for longer than a report takes.

--- a/packages/core/cactushead_core/dispatch/dispatcher.py
+++ b/packages/core/cactushead_core/dispatch/dispatcher.py
@@ -21,11 +21,15 @@
 from .events import BestEffortSubmitted, WithdrawRequested
 from .fleet import AgentView
 from .job import OpenJob, OpenTask
-from .placement import Choice, EarliestEnd, Placement
+from .placement import Choice, EarliestEnd, Placement, PlannedTask
 from .recent import RecentEnds
 from .responses import BestEffortEnded, WithdrawAnswered
 from .settings import DispatchSettings
 
+# Offers of a task to agents that seem to have room, before it queues at one;
+# each costs a round trip.
+MOST_HOPS = 2
+
 # Ends that speak against the upstream.
 _FAULTS = frozenset((RunEnd.FAILED, RunEnd.STALLED))
 
@@ -56,7 +60,7 @@
         self._settings = settings
         self._placement = placement or EarliestEnd(settings.far_factor, seed)
         self._times = RunTimes()
-        self._admission = Admission(settings, self._placement, self._times)
+        self._admission = Admission(settings, self._times)
         self._views: dict[str, AgentView] = {}
         self._jobs: dict[str, OpenJob] = {}
         self._recent = RecentEnds(settings.recent_s)
@@ -121,15 +125,16 @@
             end = BestEffortEnded(earlier, 'sent again')
             effects.append(Respond(event.request_id, end))
             return
-        refusal = self._find_refusal(job, now_s)
+        opened = OpenJob(job, event.request_id, now_s)
+        opened.open_steps()
+        plan = self._plan(opened, now_s)
+        refusal = self._find_refusal(opened, plan, now_s)
         if refusal is not None:
             effects.append(refusal_record(job, refusal))
             effects.append(Respond(event.request_id, refusal))
             return
-        opened = OpenJob(job, event.request_id, now_s)
         self._jobs[job.job] = opened
-        opened.open_steps()
-        self._place(opened, now_s, effects)
+        self._offer_planned(opened, plan, now_s, effects)
 
     def withdraw_requested(
         self,
@@ -249,21 +254,34 @@
         now_s: float,
         effects: list[Effect],
     ) -> None:
+        plan = self._plan(opened, now_s)
         if not opened.offered:
-            refusal = self._find_refusal(opened.job, now_s)
+            refusal = self._find_refusal(opened, plan, now_s)
             if refusal is not None:
                 effects.append(refusal_record(opened.job, refusal))
                 self._end(opened, refusal, now_s, effects)
                 return
-        self._place(opened, now_s, effects)
+        self._offer_planned(opened, plan, now_s, effects)
 
     def _find_refusal(
         self,
-        job: BestEffortJob,
+        opened: OpenJob,
+        plan: list[PlannedTask],
         now_s: float,
     ) -> BestEffortEnded | None:
-        views = self._candidates(job, frozenset())
-        return self._admission.find_refusal(job, views, now_s)
+        job = opened.job
+        waiting = set(opened.tasks) - {planned.task.ref for planned in plan}
+        lacking = bool(waiting) or not all(
+            self._placement.fits(step, self._candidates(job, frozenset()))
+            for step in job.steps
+        )
+        delay_s = max((planned.delay_s for planned in plan), default=0.0)
+        return self._admission.find_refusal(
+            job,
+            delay_s,
+            lacking=lacking,
+            now_s=now_s,
+        )
 
     def _candidates(
         self,
@@ -283,22 +301,46 @@
         effects: list[Effect],
     ) -> None:
         """Offers all tasks that no agent has."""
+        plan = self._plan(opened, now_s)
+        self._offer_planned(opened, plan, now_s, effects)
+
+    def _plan(self, opened: OpenJob, now_s: float) -> list[PlannedTask]:
+        """Chooses agents for all tasks that no agent has."""
         job = opened.job
-        offers: dict[tuple[str, int], list[OpenTask]] = {}
-        for task in list(opened.unplaced()):
+        plan = []
+        for task in opened.unplaced():
             step = job.steps[task.ref.step]
             expected_s = self._times.expected_s(job.queue, step.estimate_s)
             choice = self._choose(opened, task, expected_s, now_s)
-            if choice is None:
-                continue
-            task.agent = choice.agent.name
+            if choice is not None:
+                plan.append(PlannedTask(task, choice, expected_s))
+                # The next choice counts this task.
+                choice.agent.unseen_cpu_m += step.needs.cpu_m
+        for planned in plan:
+            step = job.steps[planned.task.ref.step]
+            planned.choice.agent.unseen_cpu_m -= step.needs.cpu_m
+        return plan
+
+    def _offer_planned(
+        self,
+        opened: OpenJob,
+        plan: list[PlannedTask],
+        now_s: float,
+        effects: list[Effect],
+    ) -> None:
+        """Offers tasks to the agents that were chosen."""
+        offers: dict[tuple[str, int, bool], list[OpenTask]] = {}
+        for planned in plan:
+            task = planned.task
+            task.agent = planned.choice.agent.name
             task.run += 1
-            task.expected_s = expected_s
-            choice.agent.unseen_cpu_m += step.needs.cpu_m
-            key = (choice.agent.name, task.ref.step)
+            task.expected_s = planned.expected_s
+            # Where room is expected, a task that finds none goes on at once.
+            may_wait = planned.choice.wait_s > 0 or task.crowded >= MOST_HOPS
+            key = (task.agent, task.ref.step, may_wait)
             offers.setdefault(key, []).append(task)
-        for (agent, number), tasks in offers.items():
-            self._offer(opened, agent, number, tasks, now_s, effects)
+        for (_, _, may_wait), tasks in offers.items():
+            self._offer(opened, tasks, now_s, effects, may_wait=may_wait)
 
     def _choose(
         self,
@@ -324,18 +366,19 @@
     def _offer(
         self,
         opened: OpenJob,
-        agent: str,
-        number: int,
         tasks: list[OpenTask],
         now_s: float,
         effects: list[Effect],
+        *,
+        may_wait: bool,
     ) -> None:
+        """Offers tasks of one step to the agent that they have."""
+        agent = tasks[0].agent
+        number = tasks[0].ref.step
         view = self._views[agent]
         opened.offered = True
         step = opened.job.steps[number]
         cpu_m = step.needs.cpu_m * len(tasks)
-        # The choice has counted the tasks one by one.
-        view.unseen_cpu_m -= cpu_m
         expected_s = tasks[0].expected_s
         offer_number = view.offered([task.ref for task in tasks], cpu_m)
         effects.append(
@@ -351,6 +394,7 @@
                     tuple(TaskRun(task.ref.index, task.run) for task in tasks),
                     opened.objective_at_s - expected_s - now_s,
                     expected_s,
+                    may_wait,
                 ),
             ),
         )
@@ -370,6 +414,12 @@
         if run_result.end is RunEnd.DONE:
             self._take_done(view, opened, task, run_result, now_s, effects)
             return
+        if run_result.end is RunEnd.CROWDED:
+            task.crowded += 1
+            view.crowded()
+            effects.append(Count('tasks', 'crowded'))
+            self._place(opened, now_s, effects)
+            return
         effects.append(
             Record(
                 'run ended',
--- a/packages/core/cactushead_core/dispatch/fleet.py
+++ b/packages/core/cactushead_core/dispatch/fleet.py
@@ -93,6 +93,10 @@
         while self.unseen and self.unseen[0][0] <= load.offers:
             self.unseen_cpu_m -= self.unseen.popleft()[1]
 
+    def crowded(self) -> None:
+        """Takes it as full until its next word."""
+        self.booked_cpu_m = max(self.booked_cpu_m, self.capacity.cpu_m)
+
     def offered(self, tasks: list[TaskRef], cpu_m: int) -> int:
         """Notes an offer and returns its number.
 
--- a/packages/core/cactushead_core/dispatch/job.py
+++ b/packages/core/cactushead_core/dispatch/job.py
@@ -17,6 +17,7 @@
         agent: Name of the agent that has it; empty for none.
         expected_s: Expected run time when it was offered.
         avoided: Agents where it failed or was handed back.
+        crowded: How often it was handed back for want of room at once.
     """
 
     ref: TaskRef
@@ -25,6 +26,7 @@
     agent: str = ''
     expected_s: float = 0.0
     avoided: set[str] = field(default_factory=set)
+    crowded: int = 0
 
 
 class OpenJob:
--- a/packages/core/cactushead_core/dispatch/placement.py
+++ b/packages/core/cactushead_core/dispatch/placement.py
@@ -7,6 +7,7 @@
 
 from ..tasks import JobStep
 from .fleet import AgentView
+from .job import OpenTask
 
 # Among equal waits the emptier upstream is better, since its tasks end
 # sooner than a queue there can form; small beside any run time.
@@ -37,6 +38,28 @@
         return self.wait_s + self.run_s
 
 
+@dataclass(frozen=True, slots=True)
+class PlannedTask:
+    """A task and the agent that it shall be offered to.
+
+    Attributes:
+        task: The task.
+        choice: The agent.
+        expected_s: Expected run time at a usual upstream.
+    """
+
+    task: OpenTask
+    choice: Choice
+    expected_s: float
+
+    @property
+    def delay_s(self) -> float:
+        """How much later it ends than at a usual upstream, if it waits."""
+        if not self.choice.wait_s:
+            return 0.0
+        return max(self.choice.end_s - self.expected_s, 0.0)
+
+
 class Placement(ABC):
     """A choice of agents."""
 
@@ -55,17 +78,20 @@
             candidates: Agents of the service that may get the task.
             now_s: The process's clock.
         """
-        fitting = [
-            view
-            for view in candidates
-            if view.usable
-            and view.capacity.holds(step.needs)
-            and _has_label(view, step)
-        ]
+        fitting = [view for view in candidates if _can_run(view, step)]
         if not fitting:
             return None
         return self._choose(step, expected_s, fitting, now_s)
 
+    def fits(self, step: JobStep, candidates: Iterable[AgentView]) -> bool:
+        """Whether any agent can run the tasks of a step.
+
+        Args:
+            step: The step.
+            candidates: Agents of the service.
+        """
+        return any(_can_run(view, step) for view in candidates)
+
     @abstractmethod
     def _choose(
         self,
@@ -139,5 +165,7 @@
     return view.typical_s * over_m / view.capacity.cpu_m
 
 
-def _has_label(view: AgentView, step: JobStep) -> bool:
-    return not step.required_label or step.required_label in view.labels
+def _can_run(view: AgentView, step: JobStep) -> bool:
+    if step.required_label and step.required_label not in view.labels:
+        return False
+    return view.usable and view.capacity.holds(step.needs)
--- a/packages/core/cactushead_core/dispatch/settings.py
+++ b/packages/core/cactushead_core/dispatch/settings.py
@@ -13,8 +13,8 @@
         silence_s: Silence after which either end of a link cuts it.
         owner_grace_s: How long an agent keeps the runs of a lost owner.
         late_factor: Expected time to the end, as a multiple of the
-            objective, from which on a job is refused; above 1, since
-            estimates are off by some tenths.
+            objective, from which on a job is refused, since it would make
+            others late as well; a tenth above 1, as estimates are rough.
         far_factor: How much longer a task takes away from its data.
         recent_s: How long the end of a job is remembered for callers that
             send it again; longer than copies are late.
@@ -28,7 +28,7 @@
     drift: float = 0.02
     silence_s: float = 1.0
     owner_grace_s: float = 0.5
-    late_factor: float = 1.5
+    late_factor: float = 1.1
     far_factor: float = 1.5
     recent_s: float = 15.0
     settle_s: float = 3.0
--- a/packages/core/cactushead_core/leasing/leases.py
+++ b/packages/core/cactushead_core/leasing/leases.py
@@ -312,11 +312,13 @@
             return
         if not self.runs.queued_cpu_m:
             return
-        for run in self.runs.queued():
+        for run in self.runs.queued(now_s):
             free = upstream.capacity - self.runs.booked
             if free.holds(run.needs):
                 self.runs.begin(run, now_s)
                 effects.append(self._calls.start(run, upstream, now_s))
+            elif not run.may_wait:
+                self._outbox.finish(run, RunEnd.CROWDED, now_s, 'no room')
 
     def _renew(self, now_s: float, effects: list[Effect]) -> None:
         calls = self._calls
@@ -457,6 +459,7 @@
         offer.payload,
         now_s + offer.slack_s,
         offer.expected_s,
+        offer.may_wait,
     )
 
 
--- a/packages/core/cactushead_core/leasing/runs.py
+++ b/packages/core/cactushead_core/leasing/runs.py
@@ -36,6 +36,7 @@
         payload: What the upstream gets.
         start_by_s: When it should start; the earliest goes first.
         expected_s: Expected run time.
+        may_wait: Whether it may queue.
         phase: Where it stands.
         began_s: When the start call was sent.
         answered_s: When the start was answered.
@@ -56,6 +57,7 @@
     payload: str
     start_by_s: float
     expected_s: float
+    may_wait: bool = True
     phase: Phase = Phase.QUEUED
     began_s: float = 0.0
     answered_s: float = 0.0
@@ -89,12 +91,20 @@
         """Returns all runs."""
         return list(self._runs.values())
 
-    def queued(self) -> list[LeasedRun]:
-        """Returns the queued runs, the next to start first."""
+    def queued(self, now_s: float = 0.0) -> list[LeasedRun]:
+        """Returns the queued runs, the next to start first.
+
+        Explanation:
+            Those that can still end in time go ahead, by the time at which
+            they have to start; one that is late anyway makes no other late.
+
+        Args:
+            now_s: The agent's clock.
+        """
         waiting = [
             run for run in self._runs.values() if run.phase is Phase.QUEUED
         ]
-        waiting.sort(key=lambda run: run.start_by_s)
+        waiting.sort(key=lambda run: (run.start_by_s < now_s, run.start_by_s))
         return waiting
 
     def at_upstream(self) -> list[LeasedRun]:
--- a/packages/core/cactushead_core/leasing/sessions.py
+++ b/packages/core/cactushead_core/leasing/sessions.py
@@ -67,6 +67,8 @@
         if known is None or known.number != session:
             return False
         known.offers = number
+        # The entry waits for a load that counts this offer.
+        self._load_told = None
         return True
 
     def report(
--- a/packages/core/cactushead_core/tasks/messages.py
+++ b/packages/core/cactushead_core/tasks/messages.py
@@ -35,6 +35,8 @@
         runs: The tasks.
         slack_s: How long the start may wait; the least goes first.
         expected_s: Expected run time.
+        may_wait: Whether tasks may queue; else those without room at once
+            are handed back.
     """
 
     session: int
@@ -46,6 +48,7 @@
     runs: tuple[TaskRun, ...]
     slack_s: float
     expected_s: float
+    may_wait: bool = True
 
 
 @wire_type(124)
--- a/packages/core/cactushead_core/tasks/model.py
+++ b/packages/core/cactushead_core/tasks/model.py
@@ -78,6 +78,7 @@
         LAPSED: Its lease ended.
         LOST: It ended without a trace.
         RETURNED: It never began.
+        CROWDED: It never began, since there was no room for it at once.
     """
 
     DONE = 'done'
@@ -87,6 +88,7 @@
     LAPSED = 'lapsed'
     LOST = 'lost'
     RETURNED = 'returned'
+    CROWDED = 'crowded'
 
 
 @dataclass(frozen=True, slots=True)
