--- a/packages/core/cactushead_core/fleet/settings.py
+++ b/packages/core/cactushead_core/fleet/settings.py
@@ -19,7 +19,11 @@
         append_s: Longest time between two messages of a leader to a voter.
         election_s: Shortest silence of a leader before an election; four
             heartbeats, so that three lost ones are borne.
-        snapshot_entries: Log entries after which a snapshot replaces them.
+        snapshot_entries: Log entries after which a snapshot replaces them;
+            0 for each one, so that an entry that starts has a committed
+            configuration before a leader is known.
+        kept_entries: Entries in memory for voters that are a little behind;
+            more than there are changes in a minute.
         dispatch: Settings of the dispatcher.
         seed: Seed of all jitter.
     """
@@ -30,7 +34,8 @@
     first_start: bool = False
     append_s: float = 0.15
     election_s: float = 0.6
-    snapshot_entries: int = 200
+    snapshot_entries: int = 0
+    kept_entries: int = 100
     dispatch: DispatchSettings = field(default_factory=DispatchSettings)
     seed: int = 0
 
--- a/packages/core/cactushead_core/fleet/tests/test_faults.py
+++ b/packages/core/cactushead_core/fleet/tests/test_faults.py
@@ -6,6 +6,7 @@
 from cactushead_core.configuration.responses import (
     ConfigurationStored,
     NewestConfiguration,
+    Unavailable,
 )
 from cactushead_core.events import DrainRequested
 from cactushead_core.tasks import JobEnd
@@ -295,3 +296,22 @@
     stored = world.configure('e3', 9)
     world.run(0.3)
     assert isinstance(world.answers[stored], ConfigurationStored)
+
+
+def test_entry_that_starts_serves_before_a_leader_is_known():
+    world = formed()
+    world.configure('e3', 7)
+    world.run(1)
+    for name in ('e0', 'e1', 'e2', 'e3'):
+        world.kill(name)
+    world.run(2)
+    world.start('e0')
+    world.start('e3')
+    world.run(1)
+    assert world.leaders() == []
+    assert serves(world, ['e0', 'e3'])
+    read = world.read('e0')
+    world.run(1)
+    assert isinstance(world.answers[read], Unavailable)
+    for name in ('e0', 'e3'):
+        assert world.entry(name).configuration.version == 7
--- a/packages/core/cactushead_core/fleet/voter.py
+++ b/packages/core/cactushead_core/fleet/voter.py
@@ -117,6 +117,7 @@
             heartbeat_s=self._settings.append_s,
             election_timeout_s=self._settings.election_s,
             snapshot_entries=self._settings.snapshot_entries,
+            kept_entries=self._settings.kept_entries,
             voters_wanted=self._settings.voters_wanted,
             seed=self._settings.seed,
         )
--- a/packages/core/cactushead_core/replication/settings.py
+++ b/packages/core/cactushead_core/replication/settings.py
@@ -17,7 +17,10 @@
         heartbeat_s: Time between the leader's heartbeats.
         election_timeout_s: Shortest silence before an election; the longest
             is twice as long.
-        snapshot_entries: Log length that asks for a snapshot.
+        snapshot_entries: Log length that asks for a snapshot when it is
+            passed; 0 for one after each commit.
+        kept_entries: Entries before a snapshot that stay in memory, for
+            followers that are a little behind.
         seed: Seed of the election jitter.
         drift: Largest relative error of a monotonic clock.
         voters_wanted: Number of members up to which processes that aren't
@@ -32,6 +35,7 @@
     heartbeat_s: float = 0.15
     election_timeout_s: float = 0.6
     snapshot_entries: int = 10_000
+    kept_entries: int = 5_000
     seed: int = 0
     drift: float = 0.01
     voters_wanted: int = 0
--- a/packages/core/cactushead_core/replication/state.py
+++ b/packages/core/cactushead_core/replication/state.py
@@ -285,7 +285,7 @@
         if (term, index) != (self.snapshot.term, self.snapshot.index):
             return
         self.snapshot_pending = False
-        kept = self.settings.snapshot_entries // 2
+        kept = self.settings.kept_entries
         self.log.drop_to(min(index, self.log.last_index) - kept)
         self.membership.drop_to(self.log.base_index)
 
--- a/packages/core/cactushead_core/replication/tests/cell.py
+++ b/packages/core/cactushead_core/replication/tests/cell.py
@@ -156,6 +156,7 @@
             process.disk.incarnation,
             self.names,
             snapshot_entries=self.snapshot_entries,
+            kept_entries=self.snapshot_entries // 2,
             drift=self.drift,
             seed=self.serial,
         )
--- a/packages/core/cactushead_core/replication/tests/test_machine.py
+++ b/packages/core/cactushead_core/replication/tests/test_machine.py
@@ -58,7 +58,7 @@
 
 def run_seed(seed, size, steps):
     """Runs faults chosen by a seed, then heals the cell."""
-    cell = Cell(size, snapshot_entries=(8, 40)[seed % 2])
+    cell = Cell(size, snapshot_entries=(8, 40, 0)[seed % 3])
     faults = Faults(cell, random.Random(seed).randrange)
     for _ in range(steps):
         faults.step()
