Plan tasks in a module of their own, and keep a step's spread in the plan

The planning of whole jobs chose agents before any task was marked as placed, so a step's bound on tasks per upstream held only between plans: six tasks of at most two per upstream went 3, 2 and 1. The planner counts planned tasks now. Tasks that wait for their turn under that bound are no reason to refuse their job.

--- a/packages/core/cactushead_core/dispatch/dispatcher.py
+++ b/packages/core/cactushead_core/dispatch/dispatcher.py
@@ -3,7 +3,6 @@
 from ..effects import Count, Effect, Measure, Record, Respond, Send
 from ..events import Peer
 from ..tasks import (
-    BestEffortJob,
     JobEnd,
     JobPhase,
     OfferTasks,
@@ -21,7 +20,8 @@
 from .events import BestEffortSubmitted, WithdrawRequested
 from .fleet import AgentView
 from .job import OpenJob, OpenTask
-from .placement import Choice, EarliestEnd, Placement, PlannedTask
+from .placement import EarliestEnd, Placement
+from .planner import PlannedTask, Planner
 from .recent import RecentEnds
 from .responses import BestEffortEnded, WithdrawAnswered
 from .settings import DispatchSettings
@@ -58,10 +58,14 @@
             seed: Seed of the default's jitter.
         """
         self._settings = settings
-        self._placement = placement or EarliestEnd(settings.far_factor, seed)
         self._times = RunTimes()
         self._admission = Admission(settings, self._times)
         self._views: dict[str, AgentView] = {}
+        self._planner = Planner(
+            placement or EarliestEnd(settings.far_factor, seed),
+            self._times,
+            self._views,
+        )
         self._jobs: dict[str, OpenJob] = {}
         self._recent = RecentEnds(settings.recent_s)
 
@@ -127,7 +131,7 @@
             return
         opened = OpenJob(job, event.request_id, now_s)
         opened.open_steps()
-        plan = self._plan(opened, now_s)
+        plan = self._planner.plan(opened, now_s)
         refusal = self._find_refusal(opened, plan, now_s)
         if refusal is not None:
             effects.append(refusal_record(job, refusal))
@@ -254,7 +258,7 @@
         now_s: float,
         effects: list[Effect],
     ) -> None:
-        plan = self._plan(opened, now_s)
+        plan = self._planner.plan(opened, now_s)
         if not opened.offered:
             refusal = self._find_refusal(opened, plan, now_s)
             if refusal is not None:
@@ -270,30 +274,14 @@
         now_s: float,
     ) -> BestEffortEnded | None:
         job = opened.job
-        waiting = set(opened.tasks) - {planned.task.ref for planned in plan}
-        lacking = bool(waiting) or not all(
-            self._placement.fits(step, self._candidates(job, frozenset()))
-            for step in job.steps
-        )
         delay_s = max((planned.delay_s for planned in plan), default=0.0)
         return self._admission.find_refusal(
             job,
             delay_s,
-            lacking=lacking,
+            lacking=not self._planner.fits(job),
             now_s=now_s,
         )
 
-    def _candidates(
-        self,
-        job: BestEffortJob,
-        avoided: frozenset[str] | set[str],
-    ) -> list[AgentView]:
-        return [
-            view
-            for view in self._views.values()
-            if view.service == job.service and view.name not in avoided
-        ]
-
     def _place(
         self,
         opened: OpenJob,
@@ -301,26 +289,9 @@
         effects: list[Effect],
     ) -> None:
         """Offers all tasks that no agent has."""
-        plan = self._plan(opened, now_s)
+        plan = self._planner.plan(opened, now_s)
         self._offer_planned(opened, plan, now_s, effects)
 
-    def _plan(self, opened: OpenJob, now_s: float) -> list[PlannedTask]:
-        """Chooses agents for all tasks that no agent has."""
-        job = opened.job
-        plan = []
-        for task in opened.unplaced():
-            step = job.steps[task.ref.step]
-            expected_s = self._times.expected_s(job.queue, step.estimate_s)
-            choice = self._choose(opened, task, expected_s, now_s)
-            if choice is not None:
-                plan.append(PlannedTask(task, choice, expected_s))
-                # The next choice counts this task.
-                choice.agent.unseen_cpu_m += step.needs.cpu_m
-        for planned in plan:
-            step = job.steps[planned.task.ref.step]
-            planned.choice.agent.unseen_cpu_m -= step.needs.cpu_m
-        return plan
-
     def _offer_planned(
         self,
         opened: OpenJob,
@@ -342,27 +313,6 @@
         for (_, _, may_wait), tasks in offers.items():
             self._offer(opened, tasks, now_s, effects, may_wait=may_wait)
 
-    def _choose(
-        self,
-        opened: OpenJob,
-        task: OpenTask,
-        expected_s: float,
-        now_s: float,
-    ) -> Choice | None:
-        step = opened.job.steps[task.ref.step]
-        candidates = self._candidates(opened.job, task.avoided)
-        if step.most_per_upstream:
-            candidates = [
-                view
-                for view in candidates
-                if _count_at(opened, view.name, task.ref.step)
-                < step.most_per_upstream
-            ]
-        choice = self._placement.choose(step, expected_s, candidates, now_s)
-        if choice is None and task.avoided:
-            task.avoided.clear()
-        return choice
-
     def _offer(
         self,
         opened: OpenJob,
@@ -513,10 +463,3 @@
         )
         if end.end is not JobEnd.GIVEN_UP:
             self._recent.add(job, end.end, now_s)
-
-
-def _count_at(opened: OpenJob, agent: str, step: int) -> int:
-    return sum(
-        task.agent == agent and task.ref.step == step
-        for task in opened.tasks.values()
-    )
--- a/packages/core/cactushead_core/dispatch/placement.py
+++ b/packages/core/cactushead_core/dispatch/placement.py
@@ -7,7 +7,6 @@
 
 from ..tasks import JobStep
 from .fleet import AgentView
-from .job import OpenTask
 
 # Among equal waits the emptier upstream is better, since its tasks end
 # sooner than a queue there can form; small beside any run time.
@@ -38,28 +37,6 @@
         return self.wait_s + self.run_s
 
 
-@dataclass(frozen=True, slots=True)
-class PlannedTask:
-    """A task and the agent that it shall be offered to.
-
-    Attributes:
-        task: The task.
-        choice: The agent.
-        expected_s: Expected run time at a usual upstream.
-    """
-
-    task: OpenTask
-    choice: Choice
-    expected_s: float
-
-    @property
-    def delay_s(self) -> float:
-        """How much later it ends than at a usual upstream, if it waits."""
-        if not self.choice.wait_s:
-            return 0.0
-        return max(self.choice.end_s - self.expected_s, 0.0)
-
-
 class Placement(ABC):
     """A choice of agents."""
 
