Count a silent peer as lost when its link is dropped

Ruled out: closing by force at once, which makes the library log an internal error with a trace for each link.

The test fails without the change.

--- a/packages/node/cactushead_node/peers/links.py
+++ b/packages/node/cactushead_node/peers/links.py
@@ -201,14 +201,19 @@
                 nursery.start_soon(link.close)
 
     def drop(self, peer: str, cause: str) -> None:
-        """Closes all links to a peer without waiting.
+        """Closes all links to a peer; it counts as lost from now on.
+
+        Explanation:
+            A peer that is silent doesn't answer the closing of its link, and
+            those who wait for its loss shall not wait for that, too.
 
         Args:
             peer: Name of the peer.
             cause: Why, for the log.
         """
-        for link in self._links.get(peer, ()):
+        for link in list(self._links.get(peer, ())):
             link.drop(cause)
+            self._remove(link)
 
     def open_links(self) -> list[Link]:
         """Returns all links that are up."""
--- a/packages/node/cactushead_node/peers/tests/test_links.py
+++ b/packages/node/cactushead_node/peers/tests/test_links.py
@@ -307,3 +307,20 @@
         assert await socket.other_end.receive_some(1) == b''
 
     run(close)
+
+
+def test_peer_is_lost_at_once_when_its_link_is_dropped():
+    async def drop():
+        voter, agent = Side('voter'), Side('agent')
+        async with listening(voter) as port, agent.dialling(port):
+            await voter.recorder.wait_for(PeerConnected(0.0, agent.peer))
+            voter.links.drop('agent', 'silent')
+            # No checkpoint in between: the peer has had no time to answer.
+            assert voter.recorder.events[-1] == PeerLost(0.0, agent.peer)
+            await agent.recorder.wait_for(
+                PeerConnected(0.0, voter.peer),
+                PeerLost(0.0, voter.peer),
+            )
+            assert voter.recorder.events.count(PeerLost(0.0, agent.peer)) == 1
+
+    run(drop)
