Keep what all leased upstreams do in their base class

Both implementations held the same nursery, delivery and time stamp; the base class runs them now, and its hook starts what is particular. The book of leases loses a property that nothing read and a condition that was tested twice.

--- a/packages/node/cactushead_node/upstreams/lease_book.py
+++ b/packages/node/cactushead_node/upstreams/lease_book.py
@@ -57,12 +57,6 @@
         self._number = 0
         self._token = 0
 
-    @property
-    def next_lapse_ms(self) -> int | None:
-        """When the next lease ends, None when there is none."""
-        held = [run.lease_end_ms for run in self._held().values()]
-        return min(held, default=None)
-
     def fences(self, token: int) -> bool:
         """Takes note of a fencing token.
 
@@ -155,8 +149,7 @@
         run = self._runs.pop(task)
         self._raise_highest(task, run.run)
         self._number += 1
-        cut = end is not RunEnd.DONE and run.end is not None
-        listed = run.end if cut and run.end is not None else end
+        listed = end if end is RunEnd.DONE else run.end or end
         self._ends.append(EndRow(self._number, task, run.run, listed))
 
     def forget(self, number: int) -> None:
--- a/packages/node/cactushead_node/upstreams/leased.py
+++ b/packages/node/cactushead_node/upstreams/leased.py
@@ -2,14 +2,13 @@
 
 import logging
 import time
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from functools import partial
 
 import trio
 from cactushead_core.agents.model import Assignment, OutcomeStatus
 from cactushead_core.effects import StartRun, StopRun
 from cactushead_core.events import (
-    Event,
     RunEnded,
     StopEnded,
     UpstreamChecked,
@@ -32,7 +31,7 @@
 from cactushead_core.tasks import Room, RunEnd, TaskRef
 
 from ..fleet.ports import LeasedUpstream
-from ..ports import Clock, Deliver, MakeTimedEvent
+from ..ports import Clock, MakeTimedEvent
 from .client import UpstreamClient
 from .lease_book import LeaseBook
 from .target import UpstreamTarget
@@ -88,6 +87,7 @@
             service: Service that it belongs to.
             now: The process's clock.
         """
+        super().__init__()
         self.identity = UpstreamIdentity(
             target.spec.name,
             int(time.time() * MILLISECONDS),
@@ -99,22 +99,10 @@
         self._client = UpstreamClient(target, self._take, now)
         self._exchanges: dict[str, _Exchange] = {}
         self._sequence = 0
-        self._nursery: trio.Nursery | None = None
-        self._deliver: Deliver | None = None
 
-    async def run(
-        self,
-        deliver: Deliver,
-        *,
-        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-    ) -> None:
-        """Makes the calls and checks the upstream until it is cancelled."""
-        self._deliver = deliver
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            await nursery.start(self._client.run)
-            nursery.start_soon(self._watch_leases)
-            task_status.started()
+    async def _begin(self, nursery: trio.Nursery) -> None:
+        await nursery.start(self._client.run)
+        nursery.start_soon(self._watch_leases)
 
     def start(self, effect: StartLeased) -> None:
         """Sends the task, unless a rule of leases is against it."""
@@ -151,10 +139,9 @@
 
     def renew(self, effect: RenewLeases) -> None:
         """Renews the leases and lists, after an end or the wait."""
-        if self._nursery is not None:
-            self._nursery.start_soon(self._renew, effect, self._now())
+        self._spawn(partial(self._renew, self._now()), effect)
 
-    async def _renew(self, effect: RenewLeases, sent_s: float) -> None:
+    async def _renew(self, sent_s: float, effect: RenewLeases) -> None:
         if self._book.fences(effect.token):
             failed = RenewalFailed(
                 0.0,
@@ -268,11 +255,3 @@
 
     def _clock_ms(self) -> int:
         return int(self._now() * MILLISECONDS)
-
-    def _tell(self, event: Event) -> None:
-        assert self._deliver is not None
-        self._deliver(partial(_stamp, event))
-
-
-def _stamp(event: Event, now_s: float) -> Event:
-    return replace(event, now_s=now_s)
