Serve both HTTP interfaces by one ASGI application

The platform's application repeated the callers' one: which scopes are served, a caller that hangs up, a handler that fails. HttpApp does that for both, and a subclass answers.

Tried and taken back: one encoder for the bodies.

--- a/packages/node/cactushead_node/callers/app.py
+++ b/packages/node/cactushead_node/callers/app.py
@@ -21,11 +21,8 @@
 from ..http import (
     BodyBudget,
     BodyError,
-    CallerGoneError,
     Exchange,
-    Receive,
-    Scope,
-    SendMessage,
+    HttpApp,
 )
 from .port import MakeEvent, RequestPort, StatusPort
 from .reply import (
@@ -41,14 +38,13 @@
 from .routes import Resource, Route, find_route
 from .schema import check_key, is_key, parse_job, parse_timeline_query
 
-LOGGER = logging.getLogger('cactushead.callers')
 JSON_LINES_TYPE = 'application/x-ndjson'
 METRICS_TEXT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 
 _Handler = Callable[[Exchange, Route], Awaitable[Reply]]
 
 
-class CallerApp:
+class CallerApp(HttpApp):
     """Answers HTTP requests through the process's reducer."""
 
     def __init__(self, requests: RequestPort, status: StatusPort) -> None:
@@ -58,6 +54,7 @@
             requests: Passes requests to the reducer.
             status: Shows the process's state, time line and metrics.
         """
+        super().__init__(logging.getLogger('cactushead.callers'))
         self._requests = requests
         self._status = status
         self._budget = BodyBudget()
@@ -75,51 +72,7 @@
             Resource.READINESS: {'GET': self._show_readiness},
         }
 
-    async def __call__(
-        self,
-        scope: Scope,
-        receive: Receive,
-        send: SendMessage,
-    ) -> None:
-        """Serves one ASGI scope.
-
-        Args:
-            scope: The scope.
-            receive: Gives the scope's next message.
-            send: Takes the next message to the server.
-        """
-        match scope['type']:
-            case 'http':
-                await self._serve(Exchange(scope, receive, send))
-            case 'lifespan':
-                await _serve_lifespan(receive, send)
-            case 'websocket':
-                await send({'type': 'websocket.close'})
-
-    async def _serve(self, exchange: Exchange) -> None:
-        try:
-            await exchange.send(await self._reply(exchange))
-        except CallerGoneError:
-            LOGGER.debug('%s: caller hung up', exchange.raw_path)
-
-    async def _reply(self, exchange: Exchange) -> Reply:
-        try:
-            return await self._checked_reply(exchange)
-        except CallerGoneError:
-            raise
-        except Exception:
-            LOGGER.exception(
-                '%s %s failed',
-                exchange.method,
-                exchange.raw_path,
-            )
-            return error_reply(
-                HTTPStatus.INTERNAL_SERVER_ERROR,
-                'internal error',
-                not_run=False,
-            )
-
-    async def _checked_reply(self, exchange: Exchange) -> Reply:
+    async def _answer(self, exchange: Exchange) -> Reply:
         try:
             return await self._dispatch(exchange)
         except InvalidInputError as error:
@@ -127,6 +80,13 @@
         except BodyError as error:
             return _refuse_body(error)
 
+    def _failure(self) -> Reply:
+        return error_reply(
+            HTTPStatus.INTERNAL_SERVER_ERROR,
+            'internal error',
+            not_run=False,
+        )
+
     async def _dispatch(self, exchange: Exchange) -> Reply:
         route = find_route(exchange.raw_path)
         if route is None:
@@ -245,14 +205,6 @@
     return CallerApp(requests, status)
 
 
-async def _serve_lifespan(receive: Receive, send: SendMessage) -> None:
-    stage = ''
-    while stage != 'shutdown':
-        message = await receive()
-        stage = message['type'].removeprefix('lifespan.')
-        await send({'type': f'lifespan.{stage}.complete'})
-
-
 def _refuse(reason: RefusalReason, *findings: Finding) -> Reply:
     return refusal_reply(Refusal(reason, findings=findings))
 
--- a/packages/node/cactushead_node/http/__init__.py
+++ b/packages/node/cactushead_node/http/__init__.py
@@ -1,5 +1,6 @@
 """Serving of HTTP, for whoever asks."""
 
+from .app import HttpApp
 from .budget import HIGHEST_BODY_BYTES, BodyBudget, Reservation
 from .errors import (
     BodyBudgetError,
@@ -22,6 +23,7 @@
     'CallerGoneError',
     'Exchange',
     'Header',
+    'HttpApp',
     'Receive',
     'Reply',
     'Reservation',
