Read what all settings have in common by one module

The settings of a fleet's processes opened, closed and checked ports and IP numbers by copies of what the other settings do. The findings keep their words.

--- a/packages/node/cactushead_node/fleet/parse.py
+++ b/packages/node/cactushead_node/fleet/parse.py
@@ -1,17 +1,20 @@
 """Reading and checking of the settings of a fleet's processes."""
 
-import ipaddress
-
 from cactushead_core.discovery import Endpoint, MemberAddress
 from cactushead_core.dispatch.settings import DispatchSettings
-from cactushead_core.errors import SettingsError
 from cactushead_core.events import PeerRole
-from cactushead_core.validation import FieldReader, load_json
+from cactushead_core.validation import FieldReader
 
 from ..settings import Address
+from ..settings.reading import (
+    HIGHEST_PORT,
+    close_settings,
+    is_ip_number,
+    open_settings,
+    read_port,
+)
 from .settings import FleetAgentSettings, FleetEntrySettings
 
-HIGHEST_PORT = 65535
 HIGHEST_LOSSES = 3
 LONGEST_S = 3600.0
 HIGHEST_FACTOR = 100.0
@@ -27,8 +30,8 @@
     Raises:
         SettingsError: The settings are not valid; holds all findings.
     """
-    reader = _open(body)
-    links_port = _read_port(reader, 'links_port')
+    reader = open_settings(body)
+    links_port = read_port(reader, 'links_port')
     settings = FleetEntrySettings(
         own=_read_own(reader, PeerRole.ENTRY, links_port),
         seeds=_read_seeds(reader, links_port),
@@ -41,7 +44,7 @@
         grace_s=_read_grace(reader),
         dispatch=_read_dispatch(reader),
     )
-    _close(reader)
+    close_settings(reader)
     return settings
 
 
@@ -54,8 +57,8 @@
     Raises:
         SettingsError: The settings are not valid; holds all findings.
     """
-    reader = _open(body)
-    links_port = _read_port(reader, 'links_port')
+    reader = open_settings(body)
+    links_port = read_port(reader, 'links_port')
     settings = FleetAgentSettings(
         own=_read_own(reader, PeerRole.AGENT, links_port),
         seeds=_read_seeds(reader, links_port),
@@ -63,24 +66,10 @@
         lease_s=reader.number('lease_s', highest=LONGEST_S, default=1.0),
         grace_s=_read_grace(reader),
     )
-    _close(reader)
+    close_settings(reader)
     return settings
 
 
-def _open(body: bytes) -> FieldReader:
-    loaded = load_json(body)
-    findings = list(loaded.findings)
-    if not loaded.parsed:
-        raise SettingsError('settings', findings)
-    return FieldReader(loaded.content, '', findings)
-
-
-def _close(reader: FieldReader) -> None:
-    reader.close()
-    if reader.findings:
-        raise SettingsError('settings', reader.findings)
-
-
 def _read_own(
     reader: FieldReader,
     role: PeerRole,
@@ -125,10 +114,6 @@
     return Address(host, int(port))
 
 
-def _read_port(reader: FieldReader, name: str) -> int:
-    return reader.integer(name, lowest=1, highest=HIGHEST_PORT)
-
-
 def _read_grace(reader: FieldReader) -> float:
     return reader.number('grace_s', highest=LONGEST_S, default=DEFAULT_GRACE_S)
 
@@ -150,7 +135,5 @@
 
 
 def _check_host(reader: FieldReader, name: str, host: str) -> None:
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
+    if not is_ip_number(host):
         reader.add(name, f'must name an IP number, got {host!r:.60}')
--- a/packages/node/cactushead_node/settings/parse.py
+++ b/packages/node/cactushead_node/settings/parse.py
@@ -7,8 +7,6 @@
     share (voters, timing, log) in one place.
 """
 
-import ipaddress
-
 from cactushead_core.config import (
     Bounds,
     OrderName,
@@ -18,8 +16,7 @@
 )
 from cactushead_core.documents.model import Label
 from cactushead_core.documents.names import NAME_RULE, is_name
-from cactushead_core.errors import SettingsError
-from cactushead_core.validation import FieldReader, load_json
+from cactushead_core.validation import FieldReader
 
 from .model import (
     Address,
@@ -32,8 +29,8 @@
     UpstreamSettings,
     VoterAddress,
 )
+from .reading import close_settings, is_ip_number, open_settings, read_port
 
-HIGHEST_PORT = 65535
 HIGHEST_SLOTS = 10_000
 HIGHEST_CONNECTIONS = 100_000
 HIGHEST_CORES = 100_000.0
@@ -72,15 +69,9 @@
     Raises:
         SettingsError: The settings are not valid; holds all findings.
     """
-    loaded = load_json(body)
-    findings = list(loaded.findings)
-    if not loaded.parsed:
-        raise SettingsError('settings', findings)
-    reader = FieldReader(loaded.content, '', findings)
+    reader = open_settings(body)
     settings = _READERS[Role(role)](reader)
-    reader.close()
-    if findings:
-        raise SettingsError('settings', findings)
+    close_settings(reader)
     return settings
 
 
@@ -138,7 +129,7 @@
     labels = _read_labels(reader)
     settings = UpstreamSettings(
         host=_read_host(reader),
-        port=_read_port(reader),
+        port=read_port(reader),
         run_path=_read_path(reader, 'run_path', default.run_path),
         health_path=_read_path(reader, 'health_path', default.health_path),
         labels=labels,
@@ -179,7 +170,7 @@
     voter = VoterAddress(
         name=_read_name(reader),
         host=_read_host(reader),
-        port=_read_port(reader),
+        port=read_port(reader),
     )
     reader.close()
     return voter
@@ -203,26 +194,18 @@
 
 def _read_address(reader: FieldReader, name: str) -> Address:
     section = reader.section(name)
-    address = Address(host=_read_host(section), port=_read_port(section))
+    address = Address(host=_read_host(section), port=read_port(section))
     section.close()
     return address
 
 
 def _read_host(reader: FieldReader) -> str:
     host = reader.text('host')
-    if not host:
-        return ''
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
+    if host and not is_ip_number(host):
         reader.add('host', f'must be an IP number, got {host!r:.80}')
     return host
 
 
-def _read_port(reader: FieldReader) -> int:
-    return reader.integer('port', lowest=1, highest=HIGHEST_PORT)
-
-
 def _read_path(reader: FieldReader, name: str, default: str) -> str:
     path = reader.text(name, default)
     if path and not _is_path(path):
