Look up a job's agents once a plan, and make offers in a module of their own

A plan filtered all agents by service for each of its tasks, on the way of every job; it does so once now. A report of the load is copied by its one field that differs.

--- a/packages/core/cactushead_core/dispatch/dispatcher.py
+++ b/packages/core/cactushead_core/dispatch/dispatcher.py
@@ -5,12 +5,10 @@
 from ..tasks import (
     JobEnd,
     JobPhase,
-    OfferTasks,
     RunEnd,
     RunResult,
     RunsEnded,
     TaskRef,
-    TaskRun,
     UpstreamLoad,
     UpstreamReport,
     WithdrawJob,
@@ -20,16 +18,13 @@
 from .events import BestEffortSubmitted, WithdrawRequested
 from .fleet import AgentView
 from .job import OpenJob, OpenTask
+from .offers import offer_planned
 from .placement import EarliestEnd, Placement
 from .planner import PlannedTask, Planner
 from .recent import RecentEnds
 from .responses import BestEffortEnded, WithdrawAnswered
 from .settings import DispatchSettings
 
-# Offers of a task to agents that seem to have room, before it queues at one;
-# each costs a round trip.
-MOST_HOPS = 2
-
 # Ends that speak against the upstream.
 _FAULTS = frozenset((RunEnd.FAILED, RunEnd.STALLED))
 
@@ -138,7 +133,7 @@
             effects.append(Respond(event.request_id, refusal))
             return
         self._jobs[job.job] = opened
-        self._offer_planned(opened, plan, now_s, effects)
+        effects.extend(offer_planned(opened, plan, now_s))
 
     def withdraw_requested(
         self,
@@ -265,7 +260,7 @@
                 effects.append(refusal_record(opened.job, refusal))
                 self._end(opened, refusal, now_s, effects)
                 return
-        self._offer_planned(opened, plan, now_s, effects)
+        effects.extend(offer_planned(opened, plan, now_s))
 
     def _find_refusal(
         self,
@@ -290,64 +285,7 @@
     ) -> None:
         """Offers all tasks that no agent has."""
         plan = self._planner.plan(opened, now_s)
-        self._offer_planned(opened, plan, now_s, effects)
-
-    def _offer_planned(
-        self,
-        opened: OpenJob,
-        plan: list[PlannedTask],
-        now_s: float,
-        effects: list[Effect],
-    ) -> None:
-        """Offers tasks to the agents that were chosen."""
-        offers: dict[tuple[str, int, bool], list[OpenTask]] = {}
-        for planned in plan:
-            task = planned.task
-            task.agent = planned.choice.agent.name
-            task.run += 1
-            task.expected_s = planned.expected_s
-            # Where room is expected, a task that finds none goes on at once.
-            may_wait = planned.choice.wait_s > 0 or task.crowded >= MOST_HOPS
-            key = (task.agent, task.ref.step, may_wait)
-            offers.setdefault(key, []).append(task)
-        for (_, _, may_wait), tasks in offers.items():
-            self._offer(opened, tasks, now_s, effects, may_wait=may_wait)
-
-    def _offer(
-        self,
-        opened: OpenJob,
-        tasks: list[OpenTask],
-        now_s: float,
-        effects: list[Effect],
-        *,
-        may_wait: bool,
-    ) -> None:
-        """Offers tasks of one step to the agent that they have."""
-        agent = tasks[0].agent
-        number = tasks[0].ref.step
-        view = self._views[agent]
-        opened.offered = True
-        step = opened.job.steps[number]
-        cpu_m = step.needs.cpu_m * len(tasks)
-        expected_s = tasks[0].expected_s
-        offer_number = view.offered([task.ref for task in tasks], cpu_m)
-        effects.append(
-            Send(
-                agent,
-                OfferTasks(
-                    view.session,
-                    offer_number,
-                    opened.job.job,
-                    number,
-                    opened.job.payload,
-                    step.needs,
-                    tuple(TaskRun(task.ref.index, task.run) for task in tasks),
-                    opened.objective_at_s - expected_s - now_s,
-                    expected_s,
-                    may_wait,
-                ),
-            ),
-        )
+        effects.extend(offer_planned(opened, plan, now_s))
 
     def _take_result(
         self,
--- a/packages/core/cactushead_core/dispatch/planner.py
+++ b/packages/core/cactushead_core/dispatch/planner.py
@@ -1,7 +1,7 @@
 """Which agents the tasks of a job shall go to."""
 
 from collections import Counter
-from collections.abc import Collection, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from ..tasks import BestEffortJob
@@ -67,8 +67,9 @@
         held = Counter(
             (task.agent, task.ref.step) for task in opened.tasks.values()
         )
+        agents = self._agents_of(opened.job)
         for task in opened.unplaced():
-            planned = self._plan_task(opened, task, held, now_s)
+            planned = self._plan_task(opened, task, agents, held, now_s)
             if planned is not None:
                 plan.append(planned)
                 agent = planned.choice.agent
@@ -86,13 +87,14 @@
         Args:
             job: The job.
         """
-        candidates = self._candidates(job, ())
-        return all(self._placement.fits(step, candidates) for step in job.steps)
+        agents = self._agents_of(job)
+        return all(self._placement.fits(step, agents) for step in job.steps)
 
     def _plan_task(
         self,
         opened: OpenJob,
         task: OpenTask,
+        agents: list[AgentView],
         held: Counter[tuple[str, int]],
         now_s: float,
     ) -> PlannedTask | None:
@@ -100,13 +102,13 @@
         number = task.ref.step
         step = job.steps[number]
         expected_s = self._times.expected_s(job.queue, step.estimate_s)
-        candidates = self._candidates(job, task.avoided)
-        if step.most_per_upstream:
-            candidates = [
-                view
-                for view in candidates
-                if held[view.name, number] < step.most_per_upstream
-            ]
+        most = step.most_per_upstream
+        candidates = [
+            view
+            for view in agents
+            if view.name not in task.avoided
+            and (not most or held[view.name, number] < most)
+        ]
         choice = self._placement.choose(step, expected_s, candidates, now_s)
         if choice is not None:
             return PlannedTask(task, choice, expected_s)
@@ -114,15 +116,9 @@
         task.avoided.clear()
         return None
 
-    def _candidates(
-        self,
-        job: BestEffortJob,
-        avoided: Collection[str],
-    ) -> list[AgentView]:
+    def _agents_of(self, job: BestEffortJob) -> list[AgentView]:
         return [
-            view
-            for view in self._views.values()
-            if view.service == job.service and view.name not in avoided
+            view for view in self._views.values() if view.service == job.service
         ]
 
 
--- a/packages/core/cactushead_core/leasing/sessions.py
+++ b/packages/core/cactushead_core/leasing/sessions.py
@@ -1,6 +1,6 @@
 """What an agent has told each entry, and taken from it."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..effects import Effect, Send
 from ..events import Peer, PeerRole
@@ -138,10 +138,5 @@
         load: UpstreamLoad,
         effects: list[Effect],
     ) -> None:
-        told = UpstreamLoad(
-            load.booked,
-            load.queued_cpu_m,
-            load.typical_s,
-            session.offers,
-        )
+        told = replace(load, offers=session.offers)
         effects.append(Send(session.entry.name, told))
