Bound the links of a fleet's processes and ping by need

Cause: every agent kept a link to every entry, pinged each 0.3 s and reported its load each 30 ms on all of them, so messages grew with entries times agents. Idle entries of 40 + 160 instances took 0.38 of a core and agents 0.12 before any job.

Change: an agent keeps links to six entries chosen by rendezvous hashing (to all up to nine), replaces missing ones and releases surplus ones. Entries keep links to the entries with a disk and to three others. Pings stand back when something else is sent, idle links are pinged rarely, loads travel with other messages, and idle agents tick and list their runs rarely. Members are announced in batches.

--- a/packages/core/cactushead_core/discovery/__init__.py
+++ b/packages/core/cactushead_core/discovery/__init__.py
@@ -2,7 +2,7 @@
 
 from .discovery import Discovery
 from .effects import Dial, DropPeer
-from .messages import Introduction, MemberAddresses, Ping
+from .messages import Introduction, LinkReleased, MemberAddresses, Ping
 from .model import Endpoint, MemberAddress
 
 __all__ = [
@@ -11,6 +11,7 @@
     'DropPeer',
     'Endpoint',
     'Introduction',
+    'LinkReleased',
     'MemberAddress',
     'MemberAddresses',
     'Ping',
--- a/packages/core/cactushead_core/discovery/discovery.py
+++ b/packages/core/cactushead_core/discovery/discovery.py
@@ -1,75 +1,43 @@
-"""Maintains links to the members of a fleet that a process needs."""
+"""Maintains the links that a process of a fleet needs."""
 
-from dataclasses import dataclass
+from collections.abc import Collection, Iterable
 
 from ..effects import Effect, Record, Send
 from ..events import Peer, PeerRole
+from .announcements import Announcements
 from .effects import Dial, DropPeer
-from .messages import Introduction, MemberAddresses
+from .keepalive import Keepalive
+from .members import DialBackoff, KnownMember, Members
+from .messages import Introduction, MemberAddresses, Ping
 from .model import Endpoint, MemberAddress
+from .subset import (
+    ENTRIES_PER_AGENT,
+    MAX_FULL_MESH_ENTRIES,
+    PEERS_PER_ENTRY,
+    Subset,
+)
 
-# Processes that start together accept links within a few tenths of a second.
-FIRST_DIAL_PAUSE_S = 0.1
-# Limits the number of concurrent attempts at an address that does not answer.
-MAX_DIAL_PAUSE_S = 0.8
 # By then the side that should dial first has had one attempt and its answer.
 DIAL_TAKEOVER_S = 1.5
-# Three consecutive pings are lost or late.
-PEER_TIMEOUT_S = 1.0
-# A third of the peer timeout, which tolerates two lost pings.
-PING_INTERVAL_S = 0.3
-# Ticks are 50 ms apart; a gap this long means that the process was paused.
-PROCESS_PAUSE_S = 0.4
-# A member that was unreachable for this long is removed; seeds are kept.
-MEMBER_EXPIRY_S = 60.0
-
-
-@dataclass(slots=True)
-class _DialBackoff:
-    """Exponential backoff of the attempts to dial an address.
-
-    Attributes:
-        next_dial_s: Earliest time of the next attempt.
-        pause_s: Pause after that attempt.
-    """
-
-    next_dial_s: float = 0.0
-    pause_s: float = FIRST_DIAL_PAUSE_S
-
-    def is_due(self, now_s: float) -> bool:
-        """Whether to dial now; if so, schedules the next attempt."""
-        if now_s < self.next_dial_s:
-            return False
-        self.next_dial_s = now_s + self.pause_s
-        self.pause_s = min(2 * self.pause_s, MAX_DIAL_PAUSE_S)
-        return True
-
-
-@dataclass(slots=True)
-class _KnownMember:
-    """A known member of the fleet.
-
-    Attributes:
-        member: Its address.
-        backoff: Backoff of the attempts to dial it.
-        disconnected_s: When its last link went down, or when it became
-            known.
-    """
-
-    member: MemberAddress
-    backoff: _DialBackoff
-    disconnected_s: float
+# A selected entry that is missing for this long is replaced by another one; a
+# process that was killed is usually back by then.
+REPLACEMENT_S = 1.0
+# An agent keeps a link that it doesn't need for this long, since the missing
+# entries of its selection may be about to return.
+RELEASE_S = 2.0
 
 
 class Discovery:
-    """Known members, the attempts to dial them, and failure detection.
+    """Known members, the links to keep, and failure detection.
 
     Explanation:
-        A process dials its seeds, sends each peer the addresses that it
-        knows, and dials those that it receives. Agents dial entries, and of
-        two entries the one whose name sorts first dials. The other side
-        dials too after `DIAL_TAKEOVER_S`, so that a process that restarts
-        while all its seeds are down is found by members that know it.
+        A process dials its seeds, sends each peer the entries that it knows,
+        and learns others from its peers. An agent keeps links to a bounded
+        subset of the entries. An entry keeps links to the agents that chose
+        it, to all entries with a disk, and to a few others. Of two processes
+        that need a link one dials; the other side dials too after
+        `DIAL_TAKEOVER_S`, so that a process that restarts while all its seeds
+        are down is found by members that know it.
     """
 
     def __init__(
@@ -87,17 +55,29 @@
         self.connected: dict[str, Peer] = {}
         self.voters: tuple[str, ...] = ()
         self._seeds = {
-            seed: _DialBackoff() for seed in seeds if seed != own.endpoint
+            seed: DialBackoff() for seed in seeds if seed != own.endpoint
         }
-        self._known: dict[str, _KnownMember] = {}
-        self._last_received_s: dict[str, float] = {}
-        self._last_tick_s: float | None = None
-        self._last_ping_s = 0.0
+        self._members = Members(own)
+        self._keepalive = Keepalive()
+        self._announcements = Announcements()
+        self._is_agent = own.role is PeerRole.AGENT
+        self._subset = (
+            Subset(own.name, ENTRIES_PER_AGENT, MAX_FULL_MESH_ENTRIES)
+            if self._is_agent
+            else Subset(own.name, PEERS_PER_ENTRY, PEERS_PER_ENTRY)
+        )
+        self._wanted: frozenset[str] = frozenset()
+        self._surplus_since_s: dict[str, float] = {}
 
     @property
     def members(self) -> tuple[MemberAddress, ...]:
         """All known members except this process."""
-        return tuple(known.member for known in self._known.values())
+        return tuple(known.member for known in self._members)
+
+    @property
+    def settled(self) -> bool:
+        """Whether all links that this process needs are up."""
+        return bool(self._wanted) and self._wanted <= self.connected.keys()
 
     def peers(self, role: PeerRole) -> list[str]:
         """Returns the names of the connected peers of a role."""
@@ -108,7 +88,7 @@
     def peer_connected(
         self, peer: Peer, now_s: float, effects: list[Effect]
     ) -> None:
-        """Sends a new peer this process's address and the known members.
+        """Sends a new peer this process's address and the known entries.
 
         Args:
             peer: The process at the other end.
@@ -116,15 +96,15 @@
             effects: List to which effects are appended.
         """
         self.connected[peer.name] = peer
-        self._last_received_s[peer.name] = now_s
+        self._keepalive.connected(peer.name, now_s)
         effects.append(Send(peer.name, Introduction(self.own, self.voters)))
-        known = tuple(
+        entries = tuple(
             member
-            for member in self.members
-            if member.name != peer.name and _needs_link(peer.role, member)
+            for member in self._members.entries()
+            if member.name != peer.name
         )
-        if known:
-            effects.append(Send(peer.name, MemberAddresses(known)))
+        if entries:
+            effects.append(Send(peer.name, MemberAddresses(entries)))
         effects.append(
             Record('peer connected', subject=peer.name, logged=True),
         )
@@ -137,142 +117,200 @@
     ) -> None:
         """Records that the last link to a peer went down."""
         self.connected.pop(peer.name, None)
-        self._last_received_s.pop(peer.name, None)
-        known = self._known.get(peer.name)
+        self._keepalive.lost(peer.name)
+        self._announcements.discard(peer.name)
+        known = self._members.find(peer.name)
         if known is not None:
-            known.disconnected_s = now_s
-            known.backoff = _DialBackoff(now_s)
+            known.missing_s = None
         effects.append(Record('peer lost', subject=peer.name, logged=True))
 
-    def introduction_received(
-        self,
-        message: Introduction,
-        now_s: float,
-        effects: list[Effect],
-    ) -> None:
-        """Records a peer's address and forwards it to other peers.
-
-        Args:
-            message: The introduction.
-            now_s: The process's clock.
-            effects: List to which effects are appended.
-        """
+    def introduction_received(self, message: Introduction) -> None:
+        """Records a peer's address and announces an entry to other peers."""
         member = message.member
-        if not self._add_member(member, now_s):
-            return
-        if self.own.role is not PeerRole.ENTRY:
+        if not self._is_relevant(member) or not self._members.add(member):
             return
-        for name, peer in self.connected.items():
-            if name != member.name and _needs_link(peer.role, member):
-                effects.append(Send(name, MemberAddresses((member,))))
+        if not self._is_agent and member.role is PeerRole.ENTRY:
+            self._announce(member, self.connected.values())
 
-    def addresses_received(
-        self, message: MemberAddresses, now_s: float
-    ) -> None:
+    def addresses_received(self, message: MemberAddresses) -> None:
         """Records addresses received from a peer.
 
         Explanation:
             The address that a connected member sent itself has precedence.
+            Only an entry that was unknown is announced to other entries, so
+            that two of them with different addresses of the same member don't
+            exchange these forever.
         """
         for member in message.members:
-            if member.name not in self.connected:
-                self._add_member(member, now_s)
+            if (
+                member.role is PeerRole.ENTRY
+                and member.name not in self.connected
+            ):
+                self._add_announced(member)
 
     def message_received(self, name: str, now_s: float) -> None:
         """Records that a peer sent a message."""
-        if name in self._last_received_s:
-            self._last_received_s[name] = now_s
+        self._keepalive.received(name, now_s)
+
+    def record_sends(self, effects: Iterable[Effect], now_s: float) -> None:
+        """Records which peers need no ping, as they are sent a message.
+
+        Explanation:
+            Between entries only pings count, because they carry the leader
+            and the version of the configuration.
+
+        Args:
+            effects: Effects of one event.
+            now_s: The process's clock.
+        """
+        for effect in effects:
+            if not isinstance(effect, Send):
+                continue
+            peer = self.connected.get(effect.peer)
+            if peer is None:
+                continue
+            between_entries = not self._is_agent and peer.role is PeerRole.ENTRY
+            if not between_entries or isinstance(effect.message, Ping):
+                self._keepalive.sent(effect.peer, now_s)
+
+    def link_released(self, name: str, effects: list[Effect]) -> None:
+        """Closes the link of a peer that doesn't need it any more."""
+        self._members.remove(name)
+        effects.append(DropPeer(name))
 
-    def tick(self, now_s: float, effects: list[Effect]) -> bool:
+    def tick(
+        self,
+        now_s: float,
+        effects: list[Effect],
+        active: Collection[str] = (),
+    ) -> list[str]:
         """Dials members and drops peers that timed out.
 
         Args:
             now_s: The process's clock.
             effects: List to which effects are appended.
+            active: Names of the peers with open work on their links.
 
         Returns:
-            Whether it is time to ping all peers.
+            Names of the peers to ping.
         """
-        self._ignore_own_pause(now_s)
-        for name, received_s in self._last_received_s.items():
-            if now_s - received_s > PEER_TIMEOUT_S:
-                self._last_received_s[name] = now_s
-                effects.append(DropPeer(name))
-                effects.append(
-                    Record(
-                        'link cut',
-                        subject=name,
-                        detail=f'silent for {now_s - received_s:.2f} s',
-                        logged=True,
-                    ),
-                )
+        due, silent = self._keepalive.tick(now_s, active)
+        for peer in silent:
+            effects.append(DropPeer(peer.name))
+            effects.append(
+                Record(
+                    'link cut',
+                    subject=peer.name,
+                    detail=f'silent for {peer.silence_s:.2f} s',
+                    logged=True,
+                ),
+            )
         self._dial_seeds(now_s, effects)
         self._dial_members(now_s, effects)
-        if now_s - self._last_ping_s < PING_INTERVAL_S:
-            return False
-        self._last_ping_s = now_s
-        return True
-
-    def _ignore_own_pause(self, now_s: float) -> None:
-        # After a pause of this process the peers' messages are still unread,
-        # so their timeouts are restarted.
-        last_tick_s = self._last_tick_s
-        self._last_tick_s = now_s
-        if last_tick_s is None or now_s - last_tick_s < PROCESS_PAUSE_S:
+        self._announcements.send_due(now_s, effects)
+        return due
+
+    def find_surplus(self, now_s: float) -> list[str]:
+        """Returns the entries whose links an agent should release.
+
+        Args:
+            now_s: The process's clock.
+        """
+        surplus = self.connected.keys() - self._wanted
+        if not surplus or not self.settled:
+            self._surplus_since_s = {}
+            return []
+        self._surplus_since_s = {
+            name: self._surplus_since_s.get(name, now_s) for name in surplus
+        }
+        return sorted(
+            name
+            for name, since_s in self._surplus_since_s.items()
+            if now_s - since_s >= RELEASE_S
+        )
+
+    def _add_announced(self, member: MemberAddress) -> None:
+        is_new = self._members.find(member.name) is None
+        if not self._members.add(member) or self._is_agent:
             return
-        self._last_received_s = dict.fromkeys(self._last_received_s, now_s)
+        to_entries = is_new and bool(self.own.disk_incarnation)
+        receivers = [
+            peer
+            for peer in self.connected.values()
+            if to_entries or peer.role is PeerRole.AGENT
+        ]
+        self._announce(member, receivers)
 
-    def _add_member(self, member: MemberAddress, now_s: float) -> bool:
-        if member.name == self.own.name:
-            return False
-        if not _needs_link(self.own.role, member):
-            return False
-        known = self._known.get(member.name)
-        if known is None:
-            known = _KnownMember(member, _DialBackoff(now_s), now_s)
-            self._known[member.name] = known
-            return True
-        changed = known.member != member
-        known.member = member
-        return changed
+    def _is_relevant(self, member: MemberAddress) -> bool:
+        return not self._is_agent or member.role is PeerRole.ENTRY
+
+    def _announce(self, member: MemberAddress, peers: Iterable[Peer]) -> None:
+        for peer in peers:
+            if peer.name != member.name:
+                self._announcements.add(peer.name, member)
 
     def _dial_seeds(self, now_s: float, effects: list[Effect]) -> None:
+        # Entries always dial their seeds, so that parts of a fleet that
+        # started on the two sides of a partition join after it.
+        if self._is_agent and self.settled:
+            return
         connected_hosts = {
             known.member.host
-            for name, known in self._known.items()
-            if name in self.connected
+            for known in self._members
+            if known.member.name in self.connected
         }
         for seed, backoff in self._seeds.items():
             if seed.host not in connected_hosts and backoff.is_due(now_s):
                 effects.append(Dial(seed.host, seed.port, ''))
 
     def _dial_members(self, now_s: float, effects: list[Effect]) -> None:
-        self._remove_expired(now_s)
-        for name, known in self._known.items():
+        self._members.remove_expired(now_s)
+        self._wanted = self._select(now_s)
+        for known in self._members:
             member = known.member
-            if name in self.connected:
+            if member.name in self.connected or member.name not in self._wanted:
+                known.missing_s = None
                 continue
-            if not self._should_dial(member, now_s - known.disconnected_s):
-                continue
-            if known.backoff.is_due(now_s):
-                effects.append(Dial(member.host, member.port, name))
-
-    def _remove_expired(self, now_s: float) -> None:
-        self._known = {
-            name: known
-            for name, known in self._known.items()
-            if name in self.connected
-            or now_s - known.disconnected_s < MEMBER_EXPIRY_S
-        }
+            if known.missing_s is None:
+                known.missing_s = now_s
+                known.backoff = DialBackoff(now_s)
+            if self._should_dial(known, now_s) and known.backoff.is_due(now_s):
+                effects.append(Dial(member.host, member.port, member.name))
+
+    def _select(self, now_s: float) -> frozenset[str]:
+        """Returns the names of the members to which links are needed."""
+
+        def is_reachable(name: str) -> bool:
+            known = self._members.find(name)
+            return name in self.connected or (
+                known is not None and known.missing_for_s(now_s) < REPLACEMENT_S
+            )
+
+        entries = self._members.entries()
+        if self._is_agent:
+            names = [member.name for member in entries]
+            return self._subset.select(names, is_reachable)
+        if self.own.disk_incarnation:
+            return frozenset(known.member.name for known in self._members)
+        diskless = [
+            member.name for member in entries if not member.disk_incarnation
+        ]
+        others = frozenset(
+            known.member.name
+            for known in self._members
+            if known.member.role is PeerRole.AGENT
+            or known.member.disk_incarnation
+        )
+        return others | self._subset.select(diskless, is_reachable)
 
-    def _should_dial(
-        self, member: MemberAddress, disconnected_s: float
-    ) -> bool:
-        if self.own.role is PeerRole.AGENT or disconnected_s > DIAL_TAKEOVER_S:
+    def _should_dial(self, known: KnownMember, now_s: float) -> bool:
+        if self._is_agent or known.missing_for_s(now_s) > DIAL_TAKEOVER_S:
             return True
-        return member.role is PeerRole.ENTRY and self.own.name < member.name
-
-
-def _needs_link(role: PeerRole, member: MemberAddress) -> bool:
-    """Whether a process of a role needs a link to a member."""
-    return role is PeerRole.ENTRY or member.role is PeerRole.ENTRY
+        member = known.member
+        if member.role is PeerRole.AGENT:
+            return False
+        own_disk = bool(self.own.disk_incarnation)
+        other_disk = bool(member.disk_incarnation)
+        if own_disk != other_disk:
+            return other_disk
+        return self.own.name < member.name
--- a/packages/core/cactushead_core/discovery/messages.py
+++ b/packages/core/cactushead_core/discovery/messages.py
@@ -48,3 +48,14 @@
     term: int = 0
     leads: bool = False
     configuration_version: int = 0
+
+
+@wire_type(128)
+@dataclass(frozen=True, slots=True)
+class LinkReleased(Message):
+    """The sender doesn't need the link any more; the receiver closes it.
+
+    Explanation:
+        The receiver doesn't dial the sender again. A link is released only
+        while no work is open on it.
+    """
--- a/packages/core/cactushead_core/fleet/entry.py
+++ b/packages/core/cactushead_core/fleet/entry.py
@@ -9,7 +9,13 @@
 )
 from ..configuration.events import ConfigurationSubmitted, NewestRequested
 from ..configuration.manager import ConfigurationFormat, ConfigurationManager
-from ..discovery import Discovery, Introduction, MemberAddresses, Ping
+from ..discovery import (
+    Discovery,
+    Introduction,
+    LinkReleased,
+    MemberAddresses,
+    Ping,
+)
 from ..dispatch import Dispatcher
 from ..dispatch.events import BestEffortSubmitted, CancelRequested
 from ..effects import Drained, Effect, EventKind, Record, Send
@@ -103,6 +109,7 @@
         for message in extract_self_sends(effects, self.settings.own.name):
             loop = MessageReceived(event.now_s, self._own_peer, message)
             self._on_message(loop, effects)
+        self.discovery.record_sends(effects, event.now_s)
 
     def _handle(self, event: Event, effects: list[Effect]) -> None:
         now_s = event.now_s
@@ -167,7 +174,9 @@
             case Introduction():
                 self._on_introduction(sender, message, now_s, effects)
             case MemberAddresses():
-                self.discovery.addresses_received(message, now_s)
+                self.discovery.addresses_received(message)
+            case LinkReleased():
+                self.discovery.link_released(sender.name, effects)
             case _:
                 self._on_configuration_message(
                     sender.name,
@@ -208,14 +217,22 @@
         # A new leader announces itself immediately.
         elected = leads and not self._was_leader
         self._was_leader = leads
-        if self.discovery.tick(now_s, effects) or elected:
+        due = self.discovery.tick(now_s, effects, self._active_peers())
+        if elected:
+            due = list(self.discovery.connected)
+        if due:
             ping = Ping(self.voter.term, leads, self.configuration.version)
-            effects.extend(
-                Send(name, ping) for name in self.discovery.connected
-            )
+            effects.extend(Send(name, ping) for name in due)
         self.configuration.tick(now_s, effects)
         self.dispatcher.tick(now_s, effects)
 
+    def _active_peers(self) -> set[str]:
+        """Returns the peers whose silence has to be noticed soon."""
+        agents = {
+            view.name for view in self.dispatcher.views.values() if view.tasks
+        }
+        return agents.union(self.discovery.peers(PeerRole.ENTRY))
+
     def _on_ping(
         self,
         sender: Peer,
@@ -241,7 +258,7 @@
         now_s: float,
         effects: list[Effect],
     ) -> None:
-        self.discovery.introduction_received(message, now_s, effects)
+        self.discovery.introduction_received(message)
         self._set_voters(message.voters, now_s, effects)
 
     def _set_voters(
--- a/packages/core/cactushead_core/leasing/lease_manager.py
+++ b/packages/core/cactushead_core/leasing/lease_manager.py
@@ -45,7 +45,7 @@
         max_duration_s = self._calls.clock.max_duration_s(settings.lease_s)
         self._tracker = UpstreamTracker(max_duration_s)
         self._stop_calls = StopCalls(self._calls, settings.retry_s)
-        self._sessions = Sessions(self.runs)
+        self._sessions = Sessions(self.runs, settings.load_interval_s)
         self._outbox = Outbox(self.runs)
         self._reconciler = RunReconciler(
             self.runs,
@@ -56,7 +56,6 @@
         self._draining = False
         self._report_due = False
         self._lost_owners: dict[Peer, float] = {}
-        self._load_due_s = 0.0
 
     @property
     def upstream(self) -> Heartbeat | None:
@@ -68,6 +67,15 @@
         """Whether no run of this agent is at the upstream."""
         return not self.runs.at_upstream()
 
+    @property
+    def quiet(self) -> bool:
+        """Whether nothing runs, waits or has to be found out."""
+        return (
+            not len(self.runs)
+            and self._tracker.reconciled
+            and not self._calls.has_unknown_runs
+        )
+
     @property
     def ready(self) -> bool:
         """Whether new tasks may start."""
@@ -154,6 +162,17 @@
             if owner.name == peer.name:
                 self._drop_owner(owner, now_s, effects)
 
+    def release(self, names: list[str]) -> list[str]:
+        """Ends the sessions with entries whose links are not needed.
+
+        Args:
+            names: The entries.
+
+        Returns:
+            Those of them whose links may be closed now.
+        """
+        return self._sessions.retire(names)
+
     def entry_lost(self, peer: Peer, now_s: float) -> None:
         """Starts the grace period of a disconnected entry's runs."""
         self._sessions.disconnected(peer)
@@ -220,9 +239,14 @@
         if acknowledged == self._calls.acknowledged:
             # Nothing new ended: keeps a minimum interval between renewals in
             # case the upstream answers without waiting.
-            spent_s = event.now_s - event.sent_s
-            pause_s = max(self._settings.min_renewal_interval_s - spent_s, 0.0)
-            self._calls.next_renewal_s = event.now_s + pause_s
+            interval_s = (
+                self._settings.idle_list_interval_s
+                if self.quiet
+                else self._settings.min_renewal_interval_s
+            )
+            self._calls.next_renewal_s = max(
+                event.sent_s + interval_s, event.now_s
+            )
         if not self._tracker.reconciled and not self._calls.has_unknown_runs:
             self._tracker.reconciled = True
             self._report_due = True
@@ -265,7 +289,9 @@
 
     def end_turn(self, now_s: float, effects: list[Effect]) -> None:
         """Starts queued runs that fit and sends results and reports."""
-        self._start_queued(now_s, effects)
+        if self._start_queued(now_s, effects):
+            self._calls.next_renewal_s = min(self._calls.next_renewal_s, now_s)
+            self._renew(now_s, effects)
         # Results are sent before reports: an entry treats a run that is
         # missing from a report as lost.
         self._outbox.send(effects)
@@ -278,9 +304,7 @@
             effects=effects,
         )
         self._report_due = False
-        if now_s >= self._load_due_s:
-            self._load_due_s = now_s + self._settings.load_interval_s
-            self._sessions.send_load(self._reconciler.mean_run_s, effects)
+        self._sessions.send_load(self._reconciler.mean_run_s, now_s, effects)
 
     def drain(self, now_s: float) -> None:
         """Stops accepting tasks and returns the queued ones."""
@@ -314,12 +338,14 @@
             return ''
         return f'run {known.run} of the task is {known.phase}'
 
-    def _start_queued(self, now_s: float, effects: list[Effect]) -> None:
+    def _start_queued(self, now_s: float, effects: list[Effect]) -> bool:
+        """Starts queued runs; returns whether the upstream was idle before."""
         upstream = self.upstream
         if upstream is None or not self.ready or not self._calls.clock.known:
-            return
+            return False
         if not self.runs.queued_cpu_m:
-            return
+            return False
+        was_idle = self.idle
         for run in self.runs.queued(now_s):
             free = upstream.capacity - self.runs.allocated
             if free.can_fit(run.needs):
@@ -327,6 +353,7 @@
                 effects.append(self._calls.start(run, upstream, now_s))
             elif not run.may_wait:
                 self._outbox.finish(run, RunEnd.NO_CAPACITY, now_s, 'no room')
+        return was_idle and not self.idle
 
     def _renew(self, now_s: float, effects: list[Effect]) -> None:
         calls = self._calls
@@ -334,9 +361,8 @@
         if upstream is None or calls.renewal_pending:
             return
         if now_s >= calls.next_renewal_s:
-            wait_s = (
-                self._settings.renew_wait_s if self._tracker.reconciled else 0.0
-            )
+            waits = self._tracker.reconciled and not self.quiet
+            wait_s = self._settings.renew_wait_s if waits else 0.0
             renewal = calls.renew(
                 upstream,
                 now_s,
--- a/packages/core/cactushead_core/leasing/node.py
+++ b/packages/core/cactushead_core/leasing/node.py
@@ -1,6 +1,12 @@
 """The reducer of an agent whose upstream runs tasks under leases."""
 
-from ..discovery import Discovery, Introduction, MemberAddresses, Ping
+from ..discovery import (
+    Discovery,
+    Introduction,
+    LinkReleased,
+    MemberAddresses,
+    Ping,
+)
 from ..effects import Drained, Effect, EventKind, Record, Send
 from ..events import (
     DrainRequested,
@@ -45,6 +51,13 @@
         self._draining = False
         self._drained = False
 
+    @property
+    def quiet(self) -> bool:
+        """Whether no timer is due soon."""
+        return (
+            self.manager.quiet and self.discovery.settled and not self._draining
+        )
+
     def _reduce(self, event: Event, effects: list[Effect]) -> None:
         manager = self.manager
         match event:
@@ -74,6 +87,7 @@
                 self._on_drain_requested(event, effects)
             case TurnEnded():
                 manager.end_turn(event.now_s, effects)
+        self.discovery.record_sends(effects, event.now_s)
 
     def _on_message(
         self,
@@ -95,18 +109,18 @@
                     effects,
                 )
             case Introduction():
-                self.discovery.introduction_received(
-                    message, event.now_s, effects
-                )
+                self.discovery.introduction_received(message)
             case MemberAddresses():
-                self.discovery.addresses_received(message, event.now_s)
+                self.discovery.addresses_received(message)
 
     def _on_tick(self, event: Tick, effects: list[Effect]) -> None:
-        if self.discovery.tick(event.now_s, effects):
-            effects.extend(
-                Send(name, Ping()) for name in self.discovery.connected
-            )
-        self.manager.tick(event.now_s, effects)
+        now_s = event.now_s
+        owners = self.manager.runs.owner_names()
+        due = self.discovery.tick(now_s, effects, owners)
+        effects.extend(Send(name, Ping()) for name in due)
+        released = self.manager.release(self.discovery.find_surplus(now_s))
+        effects.extend(Send(name, LinkReleased()) for name in released)
+        self.manager.tick(now_s, effects)
         if self._draining and self.manager.idle and not self._drained:
             self._drained = True
             effects.append(Drained())
--- a/packages/core/cactushead_core/leasing/runs.py
+++ b/packages/core/cactushead_core/leasing/runs.py
@@ -119,6 +119,10 @@
         """Returns the runs offered by one incarnation of an entry."""
         return [run for run in self._runs.values() if run.owner == owner]
 
+    def owner_names(self) -> set[str]:
+        """Returns the names of the entries that own runs."""
+        return {run.owner.name for run in self._runs.values()}
+
     def add(self, run: LeasedRun) -> None:
         """Queues a run."""
         self._runs[run.task] = run
--- a/packages/core/cactushead_core/leasing/sessions.py
+++ b/packages/core/cactushead_core/leasing/sessions.py
@@ -1,5 +1,6 @@
 """Sessions of an agent with its entries."""
 
+from collections.abc import Collection
 from dataclasses import dataclass, replace
 
 from ..effects import Effect, Send
@@ -8,6 +9,9 @@
 from .model import Heartbeat
 from .runs import RunTable
 
+# Changes of the mean run time below 10 ms don't matter for placement.
+MEAN_RUN_DIGITS = 2
+
 
 @dataclass(slots=True)
 class _Session:
@@ -18,11 +22,17 @@
         number: Number of the session, which the newest report to the entry
             began; 0 before the first report.
         offers: Number of the newest offer accepted in that session.
+        load: Newest load that was sent to the entry.
+        load_sent_s: Time at which it was sent.
+        retired: Whether the entry was told to offer nothing more.
     """
 
     entry: Peer
     number: int = 0
     offers: int = 0
+    load: UpstreamLoad | None = None
+    load_sent_s: float = float('-inf')
+    retired: bool = False
 
 
 class Sessions:
@@ -33,16 +43,18 @@
         an earlier report is never attributed to a later session.
     """
 
-    def __init__(self, runs: RunTable) -> None:
+    def __init__(self, runs: RunTable, load_interval_s: float) -> None:
         """Initializes the table without entries.
 
         Args:
             runs: The agent's runs.
+            load_interval_s: Minimum interval between two load messages to
+                an entry to which nothing else is sent.
         """
         self._runs = runs
+        self._load_interval_s = load_interval_s
         self._sessions: dict[str, _Session] = {}
         self._last_session = 0
-        self._last_load: UpstreamLoad | None = None
 
     def connected(self, peer: Peer) -> None:
         """Adds an entry that has connected."""
@@ -68,11 +80,33 @@
         if known is None or known.number != session:
             return False
         known.offers = number
-        # Forces a load message, since the entry waits for one that includes
-        # this offer.
-        self._last_load = None
         return True
 
+    def retire(self, names: Collection[str]) -> list[str]:
+        """Marks the sessions that are about to end.
+
+        Explanation:
+            Their entries get a report that they may offer nothing more.
+
+        Args:
+            names: Entries whose links are not needed.
+
+        Returns:
+            The entries among them that know and own no run any more.
+        """
+        ended = []
+        for name, session in self._sessions.items():
+            if session.retired != (name in names):
+                session.retired = name in names
+                session.number = 0
+            elif (
+                session.retired
+                and session.number
+                and not self._runs.of_owner(session.entry)
+            ):
+                ended.append(name)
+        return ended
+
     def report(
         self,
         upstream: Heartbeat | None,
@@ -93,21 +127,44 @@
             if new_sessions or not session.number:
                 self._report(session, upstream, ready=ready, effects=effects)
 
-    def send_load(self, mean_run_s: float, effects: list[Effect]) -> None:
-        """Sends the load to all entries if it has changed.
+    def send_load(
+        self,
+        mean_run_s: float,
+        now_s: float,
+        effects: list[Effect],
+    ) -> None:
+        """Sends the load to the entries for which it has changed.
+
+        Explanation:
+            An entry to which this turn sends other messages gets the load
+            with them; any other waits for the end of the interval.
 
         Args:
             mean_run_s: Exponential moving average of the run time.
-            effects: List to which effects are appended.
+            now_s: The agent's clock.
+            effects: Effects of the turn, to which the messages are appended.
         """
         runs = self._runs
-        load = UpstreamLoad(runs.allocated, runs.queued_cpu_m, mean_run_s, 0)
-        if load == self._last_load:
-            return
-        self._last_load = load
-        for session in self._sessions.values():
-            if session.number:
-                self._send_load(session, load, effects)
+        load = UpstreamLoad(
+            runs.allocated,
+            runs.queued_cpu_m,
+            round(mean_run_s, MEAN_RUN_DIGITS),
+            0,
+        )
+        receivers = {
+            effect.peer for effect in effects if isinstance(effect, Send)
+        }
+        for name, session in self._sessions.items():
+            age_s = now_s - session.load_sent_s
+            if not session.number or session.retired:
+                continue
+            if age_s < self._load_interval_s and name not in receivers:
+                continue
+            session_load = replace(load, offers=session.offers)
+            if session_load != session.load:
+                session.load = session_load
+                session.load_sent_s = now_s
+                effects.append(Send(name, session_load))
 
     def _report(
         self,
@@ -120,25 +177,14 @@
         self._last_session += 1
         session.number = self._last_session
         session.offers = 0
+        session.load = None
         held = tuple(run.task for run in self._runs.of_owner(session.entry))
         report = UpstreamReport(
             session.number,
             '' if upstream is None else upstream.service,
-            ready,
+            ready and not session.retired,
             Resources() if upstream is None else upstream.capacity,
             () if upstream is None else upstream.labels,
             held,
         )
         effects.append(Send(session.entry.name, report))
-        load = self._last_load
-        if load is not None:
-            self._send_load(session, load, effects)
-
-    def _send_load(
-        self,
-        session: _Session,
-        load: UpstreamLoad,
-        effects: list[Effect],
-    ) -> None:
-        load_message = replace(load, offers=session.offers)
-        effects.append(Send(session.entry.name, load_message))
--- a/packages/core/cactushead_core/leasing/settings.py
+++ b/packages/core/cactushead_core/leasing/settings.py
@@ -19,8 +19,11 @@
         retry_s: Pause after a failed call; a tenth of the lease.
         owner_grace_s: How long the runs of a disconnected owner continue; a
             reconnect takes less time, and a caller's resend more.
-        load_interval_s: Minimum interval between two load messages; a fifth of
-            the shortest run, so that few offers are based on stale load.
+        idle_list_interval_s: Interval at which the runs are listed while none
+            is expected; the lease, since an unexpected run ends with it.
+        load_interval_s: Minimum interval between two load messages to an
+            entry; below the shortest run, so that few offers are based on
+            stale load.
     """
 
     name: str
@@ -31,4 +34,5 @@
     min_renewal_interval_s: float = 0.12
     retry_s: float = 0.1
     owner_grace_s: float = 0.5
-    load_interval_s: float = 0.03
+    idle_list_interval_s: float = 1.0
+    load_interval_s: float = 0.1
--- a/packages/core/cactushead_core/reducer.py
+++ b/packages/core/cactushead_core/reducer.py
@@ -29,6 +29,11 @@
         self._reduce(event, effects)
         return effects
 
+    @property
+    def quiet(self) -> bool:
+        """Whether no timer is due soon, so that ticks may be rare."""
+        return False
+
     @abstractmethod
     def _reduce(self, event: Event, effects: list[Effect]) -> None:
         """Updates the state for one event and appends its effects."""
--- a/packages/node/cactushead_node/peers/links.py
+++ b/packages/node/cactushead_node/peers/links.py
@@ -80,6 +80,8 @@
 
     Attributes:
         counters: Traffic over all links.
+        ping_interval_s: Interval of the pings of the WebSockets, None if the
+            reducer pings the peers.
     """
 
     def __init__(
@@ -101,6 +103,8 @@
                 time.
         """
         self._stale_s = stale_s
+        # A reducer that replaces stale links also pings its peers.
+        self.ping_interval_s = None if stale_s else PING_INTERVAL_S
         self._side_channel = side_channel
         self.counters = LinkCounters()
         self._hello = hello
@@ -157,7 +161,7 @@
                 address.url,
                 compression=None,
                 proxy=None,
-                ping_interval=PING_INTERVAL_S,
+                ping_interval=self.ping_interval_s,
                 ping_timeout=PING_TIMEOUT_S,
                 close_timeout=CLOSE_TIMEOUT_S,
                 open_timeout=HELLO_TIMEOUT_S,
--- a/packages/node/cactushead_node/peers/listener.py
+++ b/packages/node/cactushead_node/peers/listener.py
@@ -7,7 +7,6 @@
 from .links import (
     HELLO_TIMEOUT_S,
     MAX_FRAME_BYTES,
-    PING_INTERVAL_S,
     PING_TIMEOUT_S,
     PeerLinks,
 )
@@ -33,7 +32,7 @@
         links.run_socket,
         listeners=listeners,
         compression=None,
-        ping_interval=PING_INTERVAL_S,
+        ping_interval=links.ping_interval_s,
         ping_timeout=PING_TIMEOUT_S,
         close_timeout=CLOSE_TIMEOUT_S,
         open_timeout=HELLO_TIMEOUT_S,
--- a/packages/node/cactushead_node/runtime.py
+++ b/packages/node/cactushead_node/runtime.py
@@ -31,6 +31,9 @@
 
 ENTRY_TICK_S = 0.05
 AGENT_TICK_S = 0.1
+# Interval of ticks while no timer is due soon; a quarter of the shortest timer
+# of a process that waits, its idle ping.
+QUIET_TICK_S = 0.25
 SYNC_METRIC = 'sync_s'
 # Reducers create few reference cycles. With the default thresholds the many
 # long-lived objects of a leader would cause frequent garbage collections, each
@@ -154,7 +157,8 @@
     async def _run_ticker(self) -> None:
         while True:
             self.deliver(Tick)
-            await trio.sleep(self._tick_s)
+            quiet = self._node.quiet
+            await trio.sleep(QUIET_TICK_S if quiet else self._tick_s)
 
     def _run_turn(self, event_factories: list[EventFactory]) -> None:
         event_factories.append(TurnEnded)
