Discard offers that were held up on their way to an agent

Cause: a paused agent found an offer in its socket when it woke, ahead of the end of its link, and started tasks that the entry had placed elsewhere after giving the agent up: two runs of a task at a time.

Change: an agent measures how long an entry was silent, its own pauses included. A message after more than 1.6 s begins a new session, so that all offers that were held up with it are discarded, and the entry offers them again if they are still to be run.

Ruled out: a longer time until an entry gives an agent up, since it delays every recovery and no pause has a bound.

Also: entries compute their links only after changes, check silence each 0.1 s, and dial unreachable seeds until these answer, as before.

Tests: test_faults (pauses of 3.8 and 4.5 s fail without the change).

--- a/packages/core/cactushead_core/discovery/discovery.py
+++ b/packages/core/cactushead_core/discovery/discovery.py
@@ -1,6 +1,6 @@
 """Maintains the links that a process of a fleet needs."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from ..effects import Effect, Record, Send
 from ..events import Peer, PeerRole
@@ -68,6 +68,9 @@
         )
         self._wanted: frozenset[str] = frozenset()
         self._surplus_since_s: dict[str, float] = {}
+        # Whether members or links have changed since the last selection.
+        self._changed = True
+        self._seeds_missing = True
 
     @property
     def members(self) -> tuple[MemberAddress, ...]:
@@ -95,6 +98,7 @@
             now_s: The process's clock.
             effects: List to which effects are appended.
         """
+        self._changed = True
         self.connected[peer.name] = peer
         self._keepalive.connected(peer.name, now_s)
         effects.append(Send(peer.name, Introduction(self.own, self.voters)))
@@ -116,6 +120,7 @@
         effects: list[Effect],
     ) -> None:
         """Records that the last link to a peer went down."""
+        self._changed = True
         self.connected.pop(peer.name, None)
         self._keepalive.lost(peer.name)
         self._announcements.discard(peer.name)
@@ -127,7 +132,7 @@
     def introduction_received(self, message: Introduction) -> None:
         """Records a peer's address and announces an entry to other peers."""
         member = message.member
-        if not self._is_relevant(member) or not self._members.add(member):
+        if not self._is_relevant(member) or not self._add(member):
             return
         if not self._is_agent and member.role is PeerRole.ENTRY:
             self._announce(member, self.connected.values())
@@ -148,9 +153,13 @@
             ):
                 self._add_announced(member)
 
-    def message_received(self, name: str, now_s: float) -> None:
-        """Records that a peer sent a message."""
-        self._keepalive.received(name, now_s)
+    def message_received(self, name: str, now_s: float) -> bool:
+        """Records that a peer sent a message.
+
+        Returns:
+            Whether the message may have been held up for long.
+        """
+        return self._keepalive.received(name, now_s)
 
     def record_sends(self, effects: Iterable[Effect], now_s: float) -> None:
         """Records which peers need no ping, as they are sent a message.
@@ -175,6 +184,7 @@
 
     def link_released(self, name: str, effects: list[Effect]) -> None:
         """Closes the link of a peer that doesn't need it any more."""
+        self._changed = True
         self._members.remove(name)
         effects.append(DropPeer(name))
 
@@ -182,19 +192,20 @@
         self,
         now_s: float,
         effects: list[Effect],
-        active: Collection[str] = (),
+        find_active: Callable[[], Collection[str]] = tuple,
     ) -> list[str]:
         """Dials members and drops peers that timed out.
 
         Args:
             now_s: The process's clock.
             effects: List to which effects are appended.
-            active: Names of the peers with open work on their links.
+            find_active: Returns the names of the peers with open work on
+                their links.
 
         Returns:
             Names of the peers to ping.
         """
-        due, silent = self._keepalive.tick(now_s, active)
+        due, silent = self._keepalive.tick(now_s, find_active)
         for peer in silent:
             effects.append(DropPeer(peer.name))
             effects.append(
@@ -205,8 +216,10 @@
                     logged=True,
                 ),
             )
-        self._dial_seeds(now_s, effects)
-        self._dial_members(now_s, effects)
+        if self._changed or self._seeds_missing or not self.settled:
+            self._changed = False
+            self._dial_seeds(now_s, effects)
+            self._dial_members(now_s, effects)
         self._announcements.send_due(now_s, effects)
         return due
 
@@ -231,7 +244,7 @@
 
     def _add_announced(self, member: MemberAddress) -> None:
         is_new = self._members.find(member.name) is None
-        if not self._members.add(member) or self._is_agent:
+        if not self._add(member) or self._is_agent:
             return
         to_entries = is_new and bool(self.own.disk_incarnation)
         receivers = [
@@ -241,6 +254,11 @@
         ]
         self._announce(member, receivers)
 
+    def _add(self, member: MemberAddress) -> bool:
+        is_changed = self._members.add(member)
+        self._changed = self._changed or is_changed
+        return is_changed
+
     def _is_relevant(self, member: MemberAddress) -> bool:
         return not self._is_agent or member.role is PeerRole.ENTRY
 
@@ -253,15 +271,22 @@
         # Entries always dial their seeds, so that parts of a fleet that
         # started on the two sides of a partition join after it.
         if self._is_agent and self.settled:
+            self._seeds_missing = False
             return
         connected_hosts = {
             known.member.host
             for known in self._members
             if known.member.name in self.connected
         }
-        for seed, backoff in self._seeds.items():
-            if seed.host not in connected_hosts and backoff.is_due(now_s):
-                effects.append(Dial(seed.host, seed.port, ''))
+        missing = [
+            seed for seed in self._seeds if seed.host not in connected_hosts
+        ]
+        self._seeds_missing = bool(missing)
+        effects.extend(
+            Dial(seed.host, seed.port, '')
+            for seed in missing
+            if self._seeds[seed].is_due(now_s)
+        )
 
     def _dial_members(self, now_s: float, effects: list[Effect]) -> None:
         self._members.remove_expired(now_s)
--- a/packages/core/cactushead_core/discovery/keepalive.py
+++ b/packages/core/cactushead_core/discovery/keepalive.py
@@ -1,6 +1,6 @@
 """Failure detection of linked peers."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 # Three consecutive pings are lost or late.
@@ -11,10 +11,17 @@
 # makes the link active.
 IDLE_PING_INTERVAL_S = 1.0
 IDLE_TIMEOUT_S = 3.2
+# The idle ping interval and the time that a ping may take on a busy machine.
+MAX_SILENCE_S = 1.6
 # Ticks are at most 0.25 s apart; a longer gap means that the process was
 # paused.
 PROCESS_PAUSE_S = 0.4
 
+# A third of the ping interval; checks at each tick would cost more than pings.
+CHECK_INTERVAL_S = 0.1
+# Ticks are not exactly on time; every second one is meant to check.
+CHECK_SLACK_S = 0.02
+
 _NEVER_S = float('-inf')
 
 
@@ -36,12 +43,15 @@
     """Times of the traffic with one peer.
 
     Attributes:
-        received_s: Time of the last message, or of the start of the link.
+        received_s: Time of the last message, or of the start of the link, or
+            of the end of a pause of this process.
+        heard_s: The same, regardless of pauses.
         sent_s: Time of the last message to the peer.
         active_s: Time since which the link has open work, None without.
     """
 
     received_s: float
+    heard_s: float
     sent_s: float = _NEVER_S
     active_s: float | None = None
 
@@ -59,20 +69,30 @@
         """Starts without peers."""
         self._peers: dict[str, _PeerTimes] = {}
         self._last_tick_s: float | None = None
+        self._next_check_s = _NEVER_S
 
     def connected(self, name: str, now_s: float) -> None:
         """Adds a peer."""
-        self._peers[name] = _PeerTimes(now_s)
+        self._peers[name] = _PeerTimes(now_s, now_s)
 
     def lost(self, name: str) -> None:
         """Removes a peer."""
         self._peers.pop(name, None)
 
-    def received(self, name: str, now_s: float) -> None:
-        """Records that a peer sent a message."""
+    def received(self, name: str, now_s: float) -> bool:
+        """Records that a peer sent a message.
+
+        Returns:
+            Whether the message may have been held up, by the network or by a
+            pause of this process, for longer than any peer is silent.
+        """
         times = self._peers.get(name)
-        if times is not None:
-            times.received_s = now_s
+        if times is None:
+            return False
+        silence_s = now_s - times.heard_s
+        times.received_s = now_s
+        times.heard_s = now_s
+        return silence_s > MAX_SILENCE_S
 
     def sent(self, name: str, now_s: float) -> None:
         """Records that a message was sent to a peer."""
@@ -83,13 +103,14 @@
     def tick(
         self,
         now_s: float,
-        active: Collection[str],
+        find_active: Callable[[], Collection[str]],
     ) -> tuple[list[str], list[SilentPeer]]:
         """Returns the peers to ping and those that timed out.
 
         Args:
             now_s: The process's clock.
-            active: Names of the peers whose links carry open work.
+            find_active: Returns the names of the peers whose links carry
+                open work.
 
         Returns:
             Names of the peers to ping, and the peers that timed out.
@@ -97,6 +118,10 @@
         self._ignore_own_pause(now_s)
         due: list[str] = []
         silent: list[SilentPeer] = []
+        if now_s < self._next_check_s:
+            return due, silent
+        self._next_check_s = now_s + CHECK_INTERVAL_S - CHECK_SLACK_S
+        active = find_active()
         for name, times in self._peers.items():
             if name not in active:
                 times.active_s = None
--- a/packages/core/cactushead_core/discovery/tests/overlay.py
+++ b/packages/core/cactushead_core/discovery/tests/overlay.py
@@ -93,7 +93,7 @@
 
     def _tick(self, name, node):
         effects = []
-        due = node.tick(self.now_s, effects, self._active(name, node))
+        due = node.tick(self.now_s, effects, lambda: self._active(name, node))
         effects.extend(Send(peer, Ping()) for peer in due)
         if node.own.role is PeerRole.AGENT:
             effects.extend(
--- a/packages/core/cactushead_core/discovery/tests/test_discovery.py
+++ b/packages/core/cactushead_core/discovery/tests/test_discovery.py
@@ -27,7 +27,7 @@
 
 def tick_effects(discovery, now_s, active=()):
     effects = []
-    discovery.tick(now_s, effects, active)
+    discovery.tick(now_s, effects, lambda: active)
     return effects
 
 
@@ -140,6 +140,17 @@
     assert len(messages) <= 1
 
 
+def test_entry_dials_a_seed_behind_a_partition_until_it_answers():
+    """Parts of a fleet that restart during a partition join after it."""
+    discovery = Discovery(member('e1'), SEEDS)
+    link(discovery, 'e5', 1.0)
+    times = [1.0 + k / 20 for k in range(400)]
+    dials = [
+        now_s for now_s in times if 'h2' in dialled_hosts(discovery, now_s)
+    ]
+    assert dials[-1] > times[-1] - 1.0
+
+
 def test_only_silent_peer_is_dropped():
     discovery = Discovery(member('e1'), ())
     link(discovery, 'e2', 1.0)
--- a/packages/core/cactushead_core/fleet/entry.py
+++ b/packages/core/cactushead_core/fleet/entry.py
@@ -217,7 +217,7 @@
         # A new leader announces itself immediately.
         elected = leads and not self._was_leader
         self._was_leader = leads
-        due = self.discovery.tick(now_s, effects, self._active_peers())
+        due = self.discovery.tick(now_s, effects, self._active_peers)
         if elected:
             due = list(self.discovery.connected)
         if due:
--- a/packages/core/cactushead_core/fleet/tests/test_faults.py
+++ b/packages/core/cactushead_core/fleet/tests/test_faults.py
@@ -66,6 +66,24 @@
     assert_invariants(simulation)
 
 
+@pytest.mark.parametrize('pause_s', [1.0, 2.0, 3.8, 4.5, 6.0])
+def test_paused_agent_starts_no_task_that_was_placed_elsewhere(pause_s):
+    """An offer that waited in a paused agent's socket had lapsed meanwhile.
+
+    The entry had given the agent up and placed the tasks again. The agent
+    read the offer before the end of its link, and started them too.
+    """
+    simulation = start_fleet(run_s=2)
+    simulation.pause('a2')
+    simulation.run(0.2)
+    numbers = [simulation.submit(f'e{k}', count=6) for k in range(3)]
+    simulation.run(pause_s)
+    simulation.resume('a2')
+    simulation.run(10)
+    assert job_ends(simulation, numbers) == [JobEnd.COMPLETED] * 3
+    assert_invariants(simulation)
+
+
 def test_jobs_complete_when_agent_is_paused():
     simulation = start_fleet(run_s=1.5)
     numbers = [simulation.submit(f'e{k}', count=6) for k in range(3)]
--- a/packages/core/cactushead_core/leasing/lease_manager.py
+++ b/packages/core/cactushead_core/leasing/lease_manager.py
@@ -173,6 +173,22 @@
         """
         return self._sessions.retire(names)
 
+    def renew_session(self, peer: Peer, effects: list[Effect]) -> None:
+        """Discards the offers of an entry whose messages were held up.
+
+        Explanation:
+            The entry may have placed the tasks elsewhere meanwhile. It offers
+            the others again after the report that begins the new session.
+
+        Args:
+            peer: The entry.
+            effects: List to which effects are appended.
+        """
+        self._sessions.renew(peer)
+        effects.append(
+            Record('session renewed', subject=peer.name, logged=True),
+        )
+
     def entry_lost(self, peer: Peer, now_s: float) -> None:
         """Starts the grace period of a disconnected entry's runs."""
         self._sessions.disconnected(peer)
--- a/packages/core/cactushead_core/leasing/node.py
+++ b/packages/core/cactushead_core/leasing/node.py
@@ -94,7 +94,8 @@
         event: MessageReceived,
         effects: list[Effect],
     ) -> None:
-        self.discovery.message_received(event.sender.name, event.now_s)
+        if self.discovery.message_received(event.sender.name, event.now_s):
+            self.manager.renew_session(event.sender, effects)
         message = event.message
         match message:
             case OfferTasks():
@@ -115,8 +116,8 @@
 
     def _on_tick(self, event: Tick, effects: list[Effect]) -> None:
         now_s = event.now_s
-        owners = self.manager.runs.owner_names()
-        due = self.discovery.tick(now_s, effects, owners)
+        find_owners = self.manager.runs.owner_names
+        due = self.discovery.tick(now_s, effects, find_owners)
         effects.extend(Send(name, Ping()) for name in due)
         released = self.manager.release(self.discovery.find_surplus(now_s))
         effects.extend(Send(name, LinkReleased()) for name in released)
--- a/packages/core/cactushead_core/leasing/sessions.py
+++ b/packages/core/cactushead_core/leasing/sessions.py
@@ -65,6 +65,12 @@
         """Removes an entry."""
         self._sessions.pop(peer.name, None)
 
+    def renew(self, peer: Peer) -> None:
+        """Ends the session with an entry; the next report begins another."""
+        session = self._sessions.get(peer.name)
+        if session is not None:
+            session.number = 0
+
     def accept_offer(self, sender: Peer, session: int, number: int) -> bool:
         """Records an offer of the current session.
 
