Report small changes of load later than large ones

Change: a load that changed by less than a quarter of the upstream's capacity, and whose queue is empty or not as before, waits 0.4 s instead of 0.1 s, unless something else is sent to the entry.

--- a/packages/core/cactushead_core/leasing/lease_manager.py
+++ b/packages/core/cactushead_core/leasing/lease_manager.py
@@ -320,7 +320,12 @@
             effects=effects,
         )
         self._report_due = False
-        self._sessions.send_load(self._reconciler.mean_run_s, now_s, effects)
+        capacity_cpu_m = 0
+        if self.upstream is not None:
+            capacity_cpu_m = self.upstream.capacity.cpu_m
+        self._sessions.send_load(
+            self._reconciler.mean_run_s, capacity_cpu_m, now_s, effects
+        )
 
     def drain(self, now_s: float) -> None:
         """Stops accepting tasks and returns the queued ones."""
--- a/packages/core/cactushead_core/leasing/sessions.py
+++ b/packages/core/cactushead_core/leasing/sessions.py
@@ -11,6 +11,10 @@
 
 # Changes of the mean run time below 10 ms don't matter for placement.
 MEAN_RUN_DIGITS = 2
+# A change of the load by this part of the capacity is reported soon.
+LARGE_CHANGE = 0.25
+# A smaller change waits this many times longer, since it moves few tasks.
+SMALL_CHANGE_FACTOR = 4
 
 
 @dataclass(slots=True)
@@ -136,6 +140,7 @@
     def send_load(
         self,
         mean_run_s: float,
+        capacity_cpu_m: int,
         now_s: float,
         effects: list[Effect],
     ) -> None:
@@ -143,9 +148,12 @@
 
         Explanation:
             An entry to which this turn sends other messages gets the load
-            with them; any other waits for the end of the interval.
+            with them; any other waits for the end of an interval, which is
+            longer if the load has changed little.
 
         Args:
+            capacity_cpu_m: Processor capacity of the upstream, in thousandths
+                of a core.
             mean_run_s: Exponential moving average of the run time.
             now_s: The agent's clock.
             effects: Effects of the turn, to which the messages are appended.
@@ -161,17 +169,33 @@
             effect.peer for effect in effects if isinstance(effect, Send)
         }
         for name, session in self._sessions.items():
-            age_s = now_s - session.load_sent_s
             if not session.number or session.retired:
                 continue
-            if age_s < self._load_interval_s and name not in receivers:
-                continue
             session_load = replace(load, offers=session.offers)
-            if session_load != session.load:
+            if session_load == session.load:
+                continue
+            due_s = session.load_sent_s + self._interval_s(
+                session.load, session_load, capacity_cpu_m
+            )
+            if now_s >= due_s or name in receivers:
                 session.load = session_load
                 session.load_sent_s = now_s
                 effects.append(Send(name, session_load))
 
+    def _interval_s(
+        self,
+        known: UpstreamLoad | None,
+        load: UpstreamLoad,
+        capacity_cpu_m: int,
+    ) -> float:
+        """Returns the interval after which a changed load is sent."""
+        if known is None or bool(known.queued_cpu_m) != bool(load.queued_cpu_m):
+            return self._load_interval_s
+        change_cpu_m = abs(_demand_cpu_m(load) - _demand_cpu_m(known))
+        if change_cpu_m >= LARGE_CHANGE * capacity_cpu_m:
+            return self._load_interval_s
+        return SMALL_CHANGE_FACTOR * self._load_interval_s
+
     def _report(
         self,
         session: _Session,
@@ -194,3 +218,7 @@
             held,
         )
         effects.append(Send(session.entry.name, report))
+
+
+def _demand_cpu_m(load: UpstreamLoad) -> int:
+    return load.allocated.cpu_m + load.queued_cpu_m
