Keep a run whose start was carried out but not answered

Cause: a start call without an answer within 0.1 s was stopped at once and its task placed again.

Change: the agent asks for a list. A run that it shows goes on; one that a list asked for after the call doesn't show is stopped, as before, so that a late call finds its run refused. Without a list within 0.4 s the run is stopped too.

Test: test_task_whose_start_was_not_answered_runs_once counts starts and fails before the change.

--- a/packages/core/cactushead_core/fleet/tests/test_faults.py
+++ b/packages/core/cactushead_core/fleet/tests/test_faults.py
@@ -84,6 +84,17 @@
     assert_invariants(simulation)
 
 
+def test_task_whose_start_was_not_answered_runs_once():
+    """A start call is carried out at once and only its answer is lost."""
+    simulation = start_fleet(run_s=0.8)
+    simulation.call_delay = lambda call: 0.0 if call == 'StartLeased' else None
+    numbers = [simulation.submit(f'e{k}', count=4) for k in range(3)]
+    simulation.run(4)
+    assert job_ends(simulation, numbers) == [JobEnd.COMPLETED] * 3
+    assert len(simulation.history.starts) == 12
+    assert_invariants(simulation)
+
+
 def test_jobs_complete_when_agent_is_paused():
     simulation = start_fleet(run_s=1.5)
     numbers = [simulation.submit(f'e{k}', count=6) for k in range(3)]
--- a/packages/core/cactushead_core/leasing/lease_manager.py
+++ b/packages/core/cactushead_core/leasing/lease_manager.py
@@ -213,13 +213,7 @@
                 if run.phase is Phase.STARTING:
                     run.phase = Phase.RUNNING
             case StartAnswer.UNKNOWN:
-                effects.append(run_record('start unanswered', run, event.cause))
-                self._stop_calls.mark_stopping(
-                    run, None, 'start unanswered', event.now_s
-                )
-                self._stop_calls.call_all_due(
-                    self.runs, self.upstream, event.now_s, effects
-                )
+                self._start_unanswered(run, event, effects)
             case _:
                 if event.answer is StartAnswer.FENCED:
                     self._calls.raise_token(effects)
@@ -228,6 +222,28 @@
                     run, RunEnd.RETURNED, event.now_s, event.cause
                 )
 
+    def _start_unanswered(
+        self,
+        run: LeasedRun,
+        event: StartCallCompleted,
+        effects: list[Effect],
+    ) -> None:
+        """Waits for a list that shows whether the run has started.
+
+        Explanation:
+            If only the answer was lost, the run goes on. If the call is late,
+            the next list doesn't contain the run, and it is stopped, which
+            prevents its start.
+        """
+        if run.phase is not Phase.STARTING:
+            return
+        effects.append(run_record('start unanswered', run, event.cause))
+        run.unanswered_s = event.now_s
+        self._calls.next_renewal_s = min(
+            self._calls.next_renewal_s, event.now_s
+        )
+        self._renew(event.now_s, effects)
+
     def stop_completed(
         self,
         event: StopCallCompleted,
@@ -298,6 +314,7 @@
     def tick(self, now_s: float, effects: list[Effect]) -> None:
         """Renews leases, repeats stop calls and expires lost owners."""
         self._renew(now_s, effects)
+        self._stop_calls.stop_unconfirmed(self.runs, now_s)
         self._stop_calls.call_all_due(self.runs, self.upstream, now_s, effects)
         for owner, until_s in list(self._lost_owners.items()):
             if now_s >= until_s:
--- a/packages/core/cactushead_core/leasing/reconciler.py
+++ b/packages/core/cactushead_core/leasing/reconciler.py
@@ -59,6 +59,9 @@
         for row in event.ended:
             self._process_end(row, event.now_s, effects)
         self._compare_running(event, upstream, effects)
+        self._stop_calls.call_all_due(
+            self._runs, upstream, event.now_s, effects
+        )
         self._stop_stalled(event, upstream, effects)
 
     def _process_end(
@@ -96,6 +99,10 @@
             expected.add(key)
             if key not in listed:
                 self._handle_missing(run, event.sent_s, event.now_s, effects)
+            elif run.phase is Phase.STARTING and run.unanswered_s:
+                run.phase = Phase.RUNNING
+                run.started_s = run.unanswered_s
+                effects.append(run_record('start confirmed', run, 'listed'))
         if upstream is not None:
             self._calls.stop_unknown_runs(
                 listed - expected,
@@ -115,6 +122,8 @@
         if run.phase is Phase.RUNNING and run.started_s < sent_s:
             effects.append(run_record('run lost', run, 'not listed'))
             self._outbox.finish(run, RunEnd.LOST, now_s, 'not listed')
+        elif run.phase is Phase.STARTING and 0 < run.unanswered_s < sent_s:
+            self._stop_calls.mark_stopping(run, None, 'not started', now_s)
         elif run.phase is Phase.STOPPING and 0 < run.stop_confirmed_s < sent_s:
             self._outbox.finish(run, run.end or RunEnd.LOST, now_s, run.cause)
 
--- a/packages/core/cactushead_core/leasing/runs.py
+++ b/packages/core/cactushead_core/leasing/runs.py
@@ -41,6 +41,7 @@
         phase: Its phase.
         start_sent_s: When the start call was sent.
         started_s: When the upstream confirmed the start.
+        unanswered_s: When the start call ended without an answer; 0 before.
         stop_due_s: When the next stop call is due.
         stop_pending: Whether a stop call awaits its answer.
         stop_confirmed_s: When a stop was confirmed; 0 before.
@@ -62,6 +63,7 @@
     phase: Phase = Phase.QUEUED
     start_sent_s: float = 0.0
     started_s: float = 0.0
+    unanswered_s: float = 0.0
     stop_due_s: float = 0.0
     stop_pending: bool = False
     stop_confirmed_s: float = 0.0
--- a/packages/core/cactushead_core/leasing/stop_calls.py
+++ b/packages/core/cactushead_core/leasing/stop_calls.py
@@ -6,6 +6,9 @@
 from .model import Heartbeat
 from .runs import LeasedRun, Phase, RunTable
 
+# A renewal takes at most this long if none of its answers is lost.
+CONFIRMATION_S = 0.4
+
 
 class StopCalls:
     """Marks runs for stopping and issues their stop calls."""
@@ -66,6 +69,21 @@
         run.stop_due_s = now_s + self._retry_s
         effects.append(self._calls.stop(run.task, run.run, upstream))
 
+    def stop_unconfirmed(self, runs: RunTable, now_s: float) -> None:
+        """Marks runs that no list has confirmed in time for stopping.
+
+        Args:
+            runs: The agent's runs.
+            now_s: The agent's clock.
+        """
+        for run in runs.at_upstream():
+            if (
+                run.phase is Phase.STARTING
+                and run.unanswered_s
+                and now_s - run.unanswered_s >= CONFIRMATION_S
+            ):
+                self.mark_stopping(run, None, 'start unconfirmed', now_s)
+
     def call_all_due(
         self,
         runs: RunTable,
