--- a/packages/core/cactushead_core/fleet/tests/test_faults.py
+++ b/packages/core/cactushead_core/fleet/tests/test_faults.py
@@ -84,6 +84,17 @@
     assert_invariants(simulation)
 
 
+def test_job_that_has_run_is_not_refused():
+    """After the loss of the only agent no upstream can run its tasks."""
+    simulation = start_fleet(agents=1, run_s=2)
+    number = simulation.submit('e0', count=2, caller_timeout_s=6)
+    simulation.run(0.5)
+    simulation.kill('a0', silent=True)
+    simulation.run(8)
+    assert simulation.history.starts
+    assert job_ends(simulation, [number]) == [JobEnd.ABANDONED]
+
+
 def test_task_whose_start_was_not_answered_runs_once():
     """A start call is carried out at once and only its answer is lost."""
     simulation = start_fleet(run_s=0.8)
