Test the lease check of a read on its own

A leader that wakes answers a read before it has received anything from the others. Without the check it returns version 1 after version 2 was acknowledged; the other tests of stale reads pass without it.

--- a/packages/core/cactushead_core/discovery/tests/test_overlay.py
+++ b/packages/core/cactushead_core/discovery/tests/test_overlay.py
@@ -7,11 +7,12 @@
 
 import pytest
 from cactushead_core.discovery.subset import ENTRIES_PER_AGENT
-from cactushead_core.discovery.tests.overlay import DISKS, Overlay
 from cactushead_core.events import PeerRole
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from .overlay import DISKS, Overlay
+
 # Entries and agents of fleets of 17, 200 and 1,000 instances.
 SIZES = ((6, 11), (40, 160), (100, 900))
 SETTLED_S = 8.0
--- a/packages/core/cactushead_core/fleet/tests/test_faults.py
+++ b/packages/core/cactushead_core/fleet/tests/test_faults.py
@@ -206,6 +206,21 @@
     assert isinstance(simulation.responses[number], ConfigurationStored)
 
 
+def test_resumed_leader_that_has_read_nothing_yet_returns_no_configuration():
+    """The read is the first event after the pause; only the lease is over."""
+    simulation = start_fleet()
+    leader = simulation.leaders()[0]
+    simulation.pause(leader)
+    simulation.run(3)
+    stored = simulation.configure('e3', 2)
+    simulation.run(1)
+    assert isinstance(simulation.responses[stored], ConfigurationStored)
+    simulation.processes[leader].deferred.clear()
+    read = simulation.read(leader)
+    simulation.resume(leader)
+    assert isinstance(simulation.responses[read], Unavailable)
+
+
 def test_resumed_leader_returns_no_stale_configuration():
     simulation = start_fleet()
     leader = simulation.leaders()[0]
