--- a/packages/core/cactushead_core/fleet/tests/upstream.py
+++ b/packages/core/cactushead_core/fleet/tests/upstream.py
@@ -23,6 +23,10 @@
 
 LEASE_MS = 1000
 STOP_S = 0.02
+# Time from the start of a task that crashes its upstream to the crash, and
+# from the crash to the restart.
+CRASH_DELAY_S = 0.02
+RESTART_S = 3.3
 
 
 @dataclass(slots=True)
@@ -56,12 +60,17 @@
         overlaps: Tasks that ran more than once at the same time.
         capacity_violations: Upstreams whose capacity was exceeded.
         starts: Time, task and upstream of each start.
+        crashing_jobs: Jobs whose first task crashes each upstream that starts
+            it.
+        crashes: Time, job and upstream of each such crash.
     """
 
     upstreams_by_task: dict[TaskRef, set[str]] = field(default_factory=dict)
     overlaps: list[TaskRef] = field(default_factory=list)
     capacity_violations: list[str] = field(default_factory=list)
     starts: list[tuple[float, TaskRef, str]] = field(default_factory=list)
+    crashing_jobs: set[str] = field(default_factory=set)
+    crashes: list[tuple[float, str, str]] = field(default_factory=list)
 
 
 class FakeUpstream:
@@ -98,6 +107,7 @@
         self.needs: dict[TaskRef, Resources] = {}
         self.failing = False
         self.hanging = False
+        self._restart_s = float('inf')
         self._ends: list[EndRow] = []
         self._last_end_number = 0
         self._highest_run: dict[TaskRef, int] = {}
@@ -139,6 +149,7 @@
         """Starts a new incarnation with the same id."""
         self.down = False
         self.hanging = False
+        self._restart_s = float('inf')
         self.started_ms += 1
         self._ends = []
         self._last_end_number = 0
@@ -165,7 +176,14 @@
                 fake_run.ends_s = now_s + self.run_s
 
     def advance(self, now_s: float) -> None:
-        """Ends the runs that are complete or whose lease has expired."""
+        """Ends runs that are complete or expired, crashes and restarts."""
+        if now_s >= self._restart_s:
+            self.restart()
+        crashing = self._find_crashing(now_s)
+        if crashing is not None:
+            self.history.crashes.append((now_s, crashing.job, self.name))
+            self.crash()
+            self._restart_s = now_s + RESTART_S
         for task, fake_run in list(self.running.items()):
             if now_s >= fake_run.ends_s:
                 self._finish(task, fake_run.end)
@@ -254,6 +272,14 @@
             tuple(self._ends),
         )
 
+    def _find_crashing(self, now_s: float) -> TaskRef | None:
+        """Returns a task that crashes the upstream now, None if there is none."""
+        for task, fake_run in self.running.items():
+            crashes = task.job in self.history.crashing_jobs and not task.index
+            if crashes and now_s >= fake_run.began_s + CRASH_DELAY_S:
+                return task
+        return None
+
     def _begin(self, call: StartLeased, now_s: float) -> None:
         end = RunEnd.FAILED if self.failing else RunEnd.DONE
         run_s = self._run_s(call.payload)
