Look for a crashed upstream at once when a renewal breaks off

Callers saw: tasks that were offered to an upstream in the 0.15 s after its crash waited for nothing and were then placed again, beside a chain of crashes 9 to 99 at a time.

Cause: the agent paused 0.1 s after any failed renewal, also after one whose connection the upstream had closed.

Change: the first retry after an answered renewal is immediate; later ones keep their pause. The test fails without it: the agent is still offered tasks half a pause after the crash.

--- a/packages/core/cactushead_core/dispatch/tests/test_tasks_that_crash_upstreams.py
+++ b/packages/core/cactushead_core/dispatch/tests/test_tasks_that_crash_upstreams.py
@@ -3,6 +3,7 @@
 import pytest
 from cactushead_core.fleet.tests.simulation import FleetSimulation
 from cactushead_core.fleet.tests.test_path import assert_invariants, job_ends
+from cactushead_core.leasing.settings import LeasingSettings
 from cactushead_core.tasks import JobEnd
 
 from .traffic import job_end, send_traffic
@@ -58,3 +59,14 @@
     world.run(10)
     assert job_ends(world, [number]) == [JobEnd.FAILED]
     assert len(world.history.crashes) == MAX_CRASHES
+
+
+# Guards against tasks that are queued at a dead upstream: its agent noticed the
+# crash only after the pause that follows any failed renewal.
+def test_crash_is_noticed_before_the_pause_of_a_retry():
+    world = started_world(agents=1)
+    world.submit('e0', count=1, job=CRASHING_JOB)
+    while not world.history.crashes:
+        world.run(0.001)
+    world.run(LeasingSettings('a0', 1.0, 1).retry_s / 2)
+    assert not world.entry('e0').dispatcher.views['a0'].usable
--- a/packages/core/cactushead_core/leasing/crashes.py
+++ b/packages/core/cactushead_core/leasing/crashes.py
@@ -25,14 +25,19 @@
         self._silent_since_s: float | None = None
         self._lapsed: list[LeasedRun] = []
 
-    def renewal_failed(self, now_s: float) -> None:
+    def renewal_failed(self, now_s: float) -> bool:
         """Records a failed renewal.
 
         Args:
             now_s: The agent's clock.
+
+        Returns:
+            Whether it is the first one since the upstream has answered.
         """
-        if self._silent_since_s is None:
+        first = self._silent_since_s is None
+        if first:
             self._silent_since_s = now_s
+        return first
 
     def leases_lapsed(self, runs: list[LeasedRun]) -> None:
         """Records runs whose leases expired while the upstream was silent.
--- a/packages/core/cactushead_core/leasing/lease_manager.py
+++ b/packages/core/cactushead_core/leasing/lease_manager.py
@@ -310,13 +310,17 @@
         )
         if event.fenced:
             self._calls.raise_token(effects)
-        self._crash_reporter.renewal_failed(event.now_s)
-        self._calls.next_renewal_s = event.now_s + self._settings.retry_s
+        # The first retry is immediate, since the connection may have been
+        # closed by a crash.
+        first = self._crash_reporter.renewal_failed(event.now_s)
+        pause_s = 0.0 if first else self._settings.retry_s
+        self._calls.next_renewal_s = event.now_s + pause_s
         if event.refused:
             self._end_incarnation(event.cause, event.now_s, effects)
         elif event.now_s > self._calls.latest_lease_end_s:
             self._crash_reporter.leases_lapsed(self.runs.at_upstream())
             self._finish_all(RunEnd.LEASE_EXPIRED, 'lease lapsed', event.now_s)
+        self._renew(event.now_s, effects)
 
     # Timers.
 
