Refuse jobs that have not run when no upstream is left

Cause: only a job that was never offered was refused later. Tasks that came back from a queue counted as if they had run; so did tasks in offers that an agent had discarded, which a report on the same link shows.

Change: a job is refused while none of its tasks has or may have run and no agent has any. A task that is missing in a later report on the same link was never started; with the first report on a link it may have run, as before.

--- a/packages/core/cactushead_core/dispatch/dispatcher.py
+++ b/packages/core/cactushead_core/dispatch/dispatcher.py
@@ -32,6 +32,8 @@
 
 # Results that count as failures of the upstream.
 _UPSTREAM_FAULTS = frozenset((RunEnd.FAILED, RunEnd.STALLED))
+# Results of runs that never started.
+_NEVER_STARTED = frozenset((RunEnd.RETURNED, RunEnd.NO_CAPACITY))
 _CRASHING = 'upstreams crashed under it'
 
 
@@ -210,20 +212,21 @@
         """Starts a session and reconciles the tasks with the agent's report.
 
         Explanation:
-            Tasks that are missing in the report are lost. Jobs with tasks
-            that the report lists but the entry doesn't expect are cancelled
-            at the agent.
+            Results are sent before a report on the same link. A task that is
+            missing in a later report was therefore in an offer that the agent
+            discarded; with the first report on a link, its result may be lost.
+            Jobs with tasks that the report lists but the entry doesn't expect
+            are cancelled at the agent.
         """
         view = self._views.get(sender.name)
         if view is None:
             return
+        end = RunEnd.RETURNED if view.session else RunEnd.LOST
         view.start_session(report)
         reported = set(report.held)
         unknown = reported - view.tasks
         for ref in sorted(view.tasks - reported):
-            self._handle_lost_task(
-                view, ref, 'not at the agent', now_s, effects
-            )
+            self._end_task(view, ref, end, 'not at the agent', now_s, effects)
         effects.extend(
             Send(view.name, CancelBestEffortJob(job))
             for job in sorted({unknown_ref.job for unknown_ref in unknown})
@@ -303,7 +306,7 @@
         effects: list[Effect],
     ) -> None:
         for ref in sorted(view.tasks):
-            self._handle_lost_task(view, ref, 'agent lost', now_s, effects)
+            self._end_task(view, ref, RunEnd.LOST, 'agent lost', now_s, effects)
         self._views.pop(view.name)
 
     def _retry_placement(
@@ -313,7 +316,7 @@
         effects: list[Effect],
     ) -> None:
         plan = self._planner.plan(open_job, now_s)
-        if not open_job.offered:
+        if open_job.withdrawn:
             refusal = self._find_refusal(open_job, plan, now_s)
             if refusal is not None:
                 effects.append(refusal_record(open_job.job, refusal))
@@ -379,6 +382,7 @@
             return
         view.tasks.discard(task.ref)
         task.agent = ''
+        open_job.has_run |= run_result.end not in _NEVER_STARTED
         if run_result.end is RunEnd.DONE:
             self._handle_completed_task(
                 view, open_job, task, run_result, now_s, effects
@@ -436,10 +440,11 @@
         elif open_job.open_steps():
             self._place(open_job, now_s, effects)
 
-    def _handle_lost_task(
+    def _end_task(
         self,
         view: AgentView,
         ref: TaskRef,
+        end: RunEnd,
         cause: str,
         now_s: float,
         effects: list[Effect],
@@ -448,8 +453,8 @@
         view.tasks.discard(ref)
         if open_job is None or task is None:
             return
-        lost = RunResult(ref, task.run, RunEnd.LOST, 0.0, cause)
-        self._handle_result(view, lost, now_s, effects)
+        run_result = RunResult(ref, task.run, end, 0.0, cause)
+        self._handle_result(view, run_result, now_s, effects)
 
     def _find(
         self,
--- a/packages/core/cactushead_core/dispatch/job.py
+++ b/packages/core/cactushead_core/dispatch/job.py
@@ -40,6 +40,7 @@
         request_ids: Requests of the callers that wait for the outcome.
         tasks: Tasks of the opened steps that have not completed.
         offered: Whether any task was ever offered to an agent.
+        has_run: Whether any task has or may have run.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         self.request_ids = [request_id]
         self.tasks: dict[TaskRef, OpenTask] = {}
         self.offered = False
+        self.has_run = False
         self._remaining = [step.count for step in job.steps]
         self._opened_steps: set[int] = set()
 
@@ -101,6 +103,11 @@
         """Yields the open tasks that are not offered to any agent."""
         return (task for task in self.tasks.values() if not task.agent)
 
+    @property
+    def withdrawn(self) -> bool:
+        """Whether no task has run and no agent has any."""
+        return not self.has_run and not self.agents()
+
     def finish(self, task: OpenTask) -> None:
         """Removes a completed task.
 
