Return queued tasks for which an upstream has become too small

Callers saw: a job waited although another upstream had room for it, once the capacity of the upstream that it queued at had shrunk below its needs.

Cause: the agent compared a task with the capacity only when the task was offered. Starts were compared each time, so the capacity itself was kept.

Change: a heartbeat with another capacity returns queued tasks that don't fit it. The test has no answer without the change. A second test drives shrinking and growing capacities under load; it held before too.

--- /dev/null
+++ b/packages/core/cactushead_core/fleet/tests/test_capacity_changes.py
@@ -0,0 +1,53 @@
+"""Capacity of an upstream that changes while it runs."""
+
+import pytest
+
+from cactushead_core.dispatch.tests.traffic import send_traffic, warmed_up_world
+from cactushead_core.tasks import JobEnd, Resources
+
+from .simulation import HEARTBEAT_S, FleetSimulation
+from .test_path import job_ends
+
+FULL = Resources(cpu_m=8000, memory_mb=1000)
+SHRUNK = Resources(cpu_m=2000, memory_mb=1000)
+
+
+def set_capacity(world, capacity, agents=('a0',)):
+    """Changes the capacity and waits for the heartbeats that show it."""
+    for name in agents:
+        world.processes[name].upstream.capacity = capacity
+    world.run(HEARTBEAT_S + 0.1)
+    world.history.capacity_violations.clear()
+
+
+# Guards against starts that exceed a capacity that a heartbeat has shown.
+@pytest.mark.parametrize('seed', range(3))
+def test_starts_fit_a_capacity_that_shrinks_and_grows(seed):
+    world = warmed_up_world(agents=4, capacity=FULL)
+    for capacity in (SHRUNK, FULL, Resources(cpu_m=500, memory_mb=1000), FULL):
+        set_capacity(world, capacity, agents=('a0', 'a1'))
+        send_traffic(world, 2.0, load=0.8, seed=seed)
+        assert world.history.capacity_violations == []
+        seed += 10
+
+
+# Guards against tasks that wait at an upstream that has become too small for
+# them although another one has room.
+def test_queued_task_leaves_an_upstream_that_has_become_too_small():
+    world = FleetSimulation(agents=2, run_s=1.0)
+    world.run(5)
+    for _ in range(2):
+        world.submit('e0', count=8)
+    world.run(0.1)
+    number = world.submit('e1', cpu_m=6000)
+    world.run(0.1)
+    agents = [f'a{number}' for number in range(2)]
+    holders = [
+        name
+        for name in agents
+        if world.processes[name].node.manager.runs.queued_cpu_m
+    ]
+    assert len(holders) == 1
+    set_capacity(world, SHRUNK, holders)
+    world.run(3)
+    assert job_ends(world, [number]) == [JobEnd.COMPLETED]
--- a/packages/core/cactushead_core/leasing/lease_manager.py
+++ b/packages/core/cactushead_core/leasing/lease_manager.py
@@ -22,6 +22,8 @@
 from .stop_calls import StopCalls
 from .upstream_tracker import UpstreamTracker
 
+_TOO_LARGE = 'larger than the upstream'
+
 
 class LeaseManager:
     """Manages the queue, capacity and leases of one upstream.
@@ -102,6 +104,7 @@
         if not self._calls.clock.known:
             self._calls.clock.observe(heartbeat.clock_ms, event.now_s)
         if known is not None and _differs(known, heartbeat):
+            self._return_oversized(heartbeat, event.now_s)
             self._report_change(event.now_s)
 
     def deregistered(
@@ -383,7 +386,7 @@
         if self.upstream is None or not self.ready:
             return 'upstream takes no tasks'
         if not self.upstream.capacity.can_fit(run.needs):
-            return 'larger than the upstream'
+            return _TOO_LARGE
         known = self.runs.find(run.task)
         if known is None:
             return ''
@@ -543,6 +546,12 @@
                 self._outbox.finish(run, RunEnd.RETURNED, now_s, 'not ready')
         self._report_due = True
 
+    def _return_oversized(self, heartbeat: Heartbeat, now_s: float) -> None:
+        """Returns queued runs for which the upstream has become too small."""
+        for run in self.runs.queued():
+            if not heartbeat.capacity.can_fit(run.needs):
+                self._outbox.finish(run, RunEnd.RETURNED, now_s, _TOO_LARGE)
+
     def _finish_all(self, end: RunEnd, cause: str, now_s: float) -> None:
         for run in self.runs.at_upstream():
             self._outbox.finish(run, run.end or end, now_s, cause)
