Wait for the first heartbeat of an upstream that has restarted

Cause: a list of runs shows that an upstream has restarted under its id before a heartbeat shows the capacity of the new incarnation. Until then the agent started tasks by the capacity of the one before, which may be larger.

Change: nothing starts between the two, and the entries are told. Found while tests were written for capacities that shrink.

--- a/packages/core/cactushead_core/fleet/tests/test_capacity_changes.py
+++ b/packages/core/cactushead_core/fleet/tests/test_capacity_changes.py
@@ -1,7 +1,6 @@
 """Capacity of an upstream that changes while it runs."""
 
 import pytest
-
 from cactushead_core.dispatch.tests.traffic import send_traffic, warmed_up_world
 from cactushead_core.tasks import JobEnd, Resources
 
@@ -51,3 +50,24 @@
     set_capacity(world, SHRUNK, holders)
     world.run(3)
     assert job_ends(world, [number]) == [JobEnd.COMPLETED]
+
+
+# Guards against starts at a new incarnation that has less capacity than the
+# one before it: a list shows the incarnation before a heartbeat its capacity.
+def test_restarted_upstream_is_used_only_after_its_heartbeat():
+    world = FleetSimulation(agents=1, run_s=1.0)
+    world.run(5)
+    upstream = world.processes['a0'].upstream
+    for _ in range(20):
+        world.submit('e0')
+        world.run(0.07)
+        upstream.crash()
+        upstream.capacity = SHRUNK
+        upstream.restart()
+        # Longer than a list takes, shorter than the interval of heartbeats.
+        world.run(0.3)
+        world.submit('e0', count=6)
+        world.run(0.1)
+        assert world.history.capacity_violations == []
+        upstream.capacity = FULL
+        world.run(3)
--- a/packages/core/cactushead_core/leasing/lease_manager.py
+++ b/packages/core/cactushead_core/leasing/lease_manager.py
@@ -20,7 +20,7 @@
 from .sessions import Sessions
 from .settings import LeasingSettings
 from .stop_calls import StopCalls
-from .upstream_tracker import UpstreamTracker
+from .upstream_tracker import NO_HEARTBEAT, UpstreamTracker
 
 _TOO_LARGE = 'larger than the upstream'
 
@@ -272,7 +272,8 @@
         self._calls.renewal_pending = False
         if not self._tracker.matches(event.upstream):
             return
-        self._adopt_incarnation(event.upstream, effects)
+        if self._adopt_incarnation(event.upstream, effects):
+            self._report_change(event.now_s)
         if self._reconciler.crashed is None:
             self._crash_reporter.answered()
         self._calls.clock.observe(event.clock_ms, event.now_s)
@@ -484,16 +485,19 @@
         self,
         identity: UpstreamIdentity,
         effects: list[Effect],
-    ) -> None:
+    ) -> bool:
         """Switches to a newer incarnation of the upstream with the same id.
 
         Explanation:
             Start calls in flight may be executed by the new incarnation, so
             its next list decides which runs are lost.
+
+        Returns:
+            Whether it is newer than the known one.
         """
         known = self.upstream
         if known is None or not self._tracker.update_incarnation(identity):
-            return
+            return False
         self._reconciler.crashed = known.identity
         effects.append(
             Record(
@@ -504,6 +508,7 @@
             ),
         )
         self._calls.reset()
+        return True
 
     def _end_incarnation(
         self,
@@ -581,4 +586,5 @@
         or known.capacity != heartbeat.capacity
         or known.labels != heartbeat.labels
         or known.service != heartbeat.service
+        or known.sequence == NO_HEARTBEAT
     )
--- a/packages/core/cactushead_core/leasing/upstream_tracker.py
+++ b/packages/core/cactushead_core/leasing/upstream_tracker.py
@@ -4,6 +4,9 @@
 
 from .model import Heartbeat, UpstreamIdentity, UpstreamState
 
+# Sequence number of an incarnation that has sent no heartbeat.
+NO_HEARTBEAT = -1
+
 
 class UpstreamTracker:
     """The current incarnation of an agent's upstream.
@@ -29,11 +32,17 @@
 
     @property
     def accepts_tasks(self) -> bool:
-        """Whether new tasks may be started at the upstream."""
+        """Whether new tasks may be started at the upstream.
+
+        Explanation:
+            A new incarnation may have less capacity than the one before it,
+            so its first heartbeat is awaited.
+        """
         return (
             self.reconciled
             and self.upstream is not None
             and self.upstream.state is UpstreamState.READY
+            and self.upstream.sequence != NO_HEARTBEAT
         )
 
     def is_newer(self, heartbeat: Heartbeat) -> bool:
@@ -83,7 +92,7 @@
         known = self.upstream
         if known is None or known.identity.started_ms >= identity.started_ms:
             return False
-        self.upstream = replace(known, identity=identity, sequence=-1)
+        self.upstream = replace(known, identity=identity, sequence=NO_HEARTBEAT)
         return True
 
     def mark_gone(self) -> None:
