Serve tasks and upstreams without processors

Callers saw: a task that declares memory only never started if no other task was queued at the agent. An entry ended with a division by zero if an upstream reported no processors.

Cause: the agent took its queue as empty by the queued processor demand; the placement divided by the capacity of an agent. Class of fault: an amount that stands for a number. The other divisions by a capacity were looked at; these two were all.

Change: the agent counts its queued runs; the placement divides by at least a thousandth of a core. The test ends with the division by zero without the change, then without an answer. Found while tests were written for capacities that shrink.

--- a/packages/core/cactushead_core/dispatch/placement.py
+++ b/packages/core/cactushead_core/dispatch/placement.py
@@ -105,9 +105,9 @@
         best_score = float('inf')
         for view in fitting:
             choice = self._estimate(step, expected_s, view)
-            utilization = (
-                view.load_cpu_m + step.needs.cpu_m
-            ) / view.capacity.cpu_m
+            utilization = (view.load_cpu_m + step.needs.cpu_m) / max(
+                view.capacity.cpu_m, 1
+            )
             # A failed run is repeated: 1 / success runs are expected.
             success = max(
                 1 - view.expected_failure_rate(now_s), MIN_SUCCESS_RATE
@@ -148,7 +148,7 @@
     excess_cpu_m = view.load_cpu_m + cpu_m - view.capacity.cpu_m
     if excess_cpu_m <= 0:
         return 0.0
-    return view.mean_run_s * excess_cpu_m / view.capacity.cpu_m
+    return view.mean_run_s * excess_cpu_m / max(view.capacity.cpu_m, 1)
 
 
 def _can_run(view: AgentView, step: JobStep) -> bool:
--- a/packages/core/cactushead_core/fleet/tests/test_capacity_changes.py
+++ b/packages/core/cactushead_core/fleet/tests/test_capacity_changes.py
@@ -71,3 +71,13 @@
         assert world.history.capacity_violations == []
         upstream.capacity = FULL
         world.run(3)
+
+
+# Guards against a division by zero when an upstream reports no processors.
+def test_upstream_without_processors_stops_no_entry():
+    world = FleetSimulation(agents=2)
+    world.run(5)
+    set_capacity(world, Resources(cpu_m=0, memory_mb=1000))
+    number = world.submit('e0', cpu_m=0)
+    world.run(2)
+    assert job_ends(world, [number]) == [JobEnd.COMPLETED]
--- a/packages/core/cactushead_core/leasing/lease_manager.py
+++ b/packages/core/cactushead_core/leasing/lease_manager.py
@@ -104,7 +104,10 @@
         if not self._calls.clock.known:
             self._calls.clock.observe(heartbeat.clock_ms, event.now_s)
         if known is not None and _differs(known, heartbeat):
-            self._return_oversized(heartbeat, event.now_s)
+            for run in self.runs.oversized(heartbeat.capacity):
+                self._outbox.finish(
+                    run, RunEnd.RETURNED, event.now_s, _TOO_LARGE
+                )
             self._report_change(event.now_s)
 
     def deregistered(
@@ -398,7 +401,7 @@
         upstream = self.upstream
         if upstream is None or not self.ready or not self._calls.clock.known:
             return False
-        if not self.runs.queued_cpu_m:
+        if not self.runs.queued_count:
             return False
         was_idle = self.idle
         for run in self.runs.queued(now_s):
@@ -551,12 +554,6 @@
                 self._outbox.finish(run, RunEnd.RETURNED, now_s, 'not ready')
         self._report_due = True
 
-    def _return_oversized(self, heartbeat: Heartbeat, now_s: float) -> None:
-        """Returns queued runs for which the upstream has become too small."""
-        for run in self.runs.queued():
-            if not heartbeat.capacity.can_fit(run.needs):
-                self._outbox.finish(run, RunEnd.RETURNED, now_s, _TOO_LARGE)
-
     def _finish_all(self, end: RunEnd, cause: str, now_s: float) -> None:
         for run in self.runs.at_upstream():
             self._outbox.finish(run, run.end or end, now_s, cause)
@@ -581,10 +578,12 @@
 
 
 def _differs(known: Heartbeat, heartbeat: Heartbeat) -> bool:
-    return (
-        known.state is not heartbeat.state
-        or known.capacity != heartbeat.capacity
-        or known.labels != heartbeat.labels
-        or known.service != heartbeat.service
-        or known.sequence == NO_HEARTBEAT
+    return known.sequence == NO_HEARTBEAT or (
+        (known.state, known.capacity, known.labels, known.service)
+        != (
+            heartbeat.state,
+            heartbeat.capacity,
+            heartbeat.labels,
+            heartbeat.service,
+        )
     )
--- a/packages/core/cactushead_core/leasing/runs.py
+++ b/packages/core/cactushead_core/leasing/runs.py
@@ -80,6 +80,7 @@
         """Initializes an empty table."""
         self.allocated = Resources()
         self.queued_cpu_m = 0
+        self.queued_count = 0
         self._runs: dict[TaskRef, LeasedRun] = {}
 
     def __len__(self) -> int:
@@ -111,6 +112,14 @@
         waiting.sort(key=lambda run: (run.start_by_s < now_s, run.start_by_s))
         return waiting
 
+    def oversized(self, capacity: Resources) -> list[LeasedRun]:
+        """Returns the queued runs that would not fit into an empty upstream.
+
+        Args:
+            capacity: Capacity of the upstream.
+        """
+        return [run for run in self.queued() if not capacity.can_fit(run.needs)]
+
     def at_upstream(self) -> list[LeasedRun]:
         """Returns the runs that are or may be at the upstream."""
         return [
@@ -129,12 +138,14 @@
         """Queues a run."""
         self._runs[run.task] = run
         self.queued_cpu_m += run.needs.cpu_m
+        self.queued_count += 1
 
     def mark_started(self, run: LeasedRun, now_s: float) -> None:
         """Allocates the resources of a queued run whose start call is sent."""
         run.phase = Phase.STARTING
         run.start_sent_s = now_s
         self.queued_cpu_m -= run.needs.cpu_m
+        self.queued_count -= 1
         self.allocated += run.needs
 
     def remove(self, run: LeasedRun) -> None:
@@ -142,6 +153,7 @@
         self._runs.pop(run.task)
         if run.phase is Phase.QUEUED:
             self.queued_cpu_m -= run.needs.cpu_m
+            self.queued_count -= 1
         else:
             self.allocated -= run.needs
 
