Count exchanges that break off as crashes of the upstream

Cause, looked for elsewhere: where the agent keeps the list of runs itself, for upstreams of the project's own protocol, a crash shows as an exchange that breaks off. Such a run was listed as lost, and a lost run has no limit.

The leader's path for jobs that are kept starts each task once and fails the job of a task that may have run, so it has no such retry.

--- a/packages/core/cactushead_core/dispatch/tests/test_tasks_that_crash_upstreams.py
+++ b/packages/core/cactushead_core/dispatch/tests/test_tasks_that_crash_upstreams.py
@@ -33,6 +33,19 @@
     assert_invariants(world)
 
 
+# Guards against the same where the agent keeps the list of runs itself and a
+# crash shows as an exchange that breaks off: such a run counted as lost.
+def test_task_whose_exchanges_break_off_is_given_up():
+    world = started_world(agents=6)
+    for number in range(6):
+        world.processes[f'a{number}'].upstream.lists_crashes = True
+    number = world.submit('e0', count=4, job=CRASHING_JOB)
+    world.run(10)
+    assert len(world.history.crashes) == MAX_CRASHES
+    assert job_ends(world, [number]) == [JobEnd.FAILED]
+    assert_invariants(world)
+
+
 # Guards against blaming a job for the crashes of another one beside it.
 @pytest.mark.parametrize('seed', range(5))
 def test_jobs_beside_it_complete(seed):
--- a/packages/core/cactushead_core/fleet/tests/upstream.py
+++ b/packages/core/cactushead_core/fleet/tests/upstream.py
@@ -79,6 +79,7 @@
     Attributes:
         running: Its active runs.
         down: Whether it has crashed.
+        lists_crashes: Whether what lists the runs outlives a crash.
     """
 
     def __init__(
@@ -107,6 +108,7 @@
         self.needs: dict[TaskRef, Resources] = {}
         self.failing = False
         self.hanging = False
+        self.lists_crashes = False
         self._restart_s = float('inf')
         self._ends: list[EndRow] = []
         self._last_end_number = 0
@@ -182,8 +184,7 @@
         crashing = self._find_crashing(now_s)
         if crashing is not None:
             self.history.crashes.append((now_s, crashing.job, self.name))
-            self.crash()
-            self._restart_s = now_s + RESTART_S
+            self._crash_by_task(now_s)
         for task, fake_run in list(self.running.items()):
             if now_s >= fake_run.ends_s:
                 self._finish(task, fake_run.end)
@@ -272,6 +273,14 @@
             tuple(self._ends),
         )
 
+    def _crash_by_task(self, now_s: float) -> None:
+        if self.lists_crashes:
+            for task in list(self.running):
+                self._finish(task, RunEnd.CRASHED)
+        else:
+            self.crash()
+            self._restart_s = now_s + RESTART_S
+
     def _find_crashing(self, now_s: float) -> TaskRef | None:
         """Returns a task that crashes the upstream now, None for none."""
         for task, fake_run in self.running.items():
--- a/packages/core/cactushead_core/leasing/crashes.py
+++ b/packages/core/cactushead_core/leasing/crashes.py
@@ -83,6 +83,35 @@
         for run in runs:
             self._outbox.finish(run, run.end or RunEnd.CRASHED, now_s, cause)
         crash = f'{identity.upstream}/{identity.started_ms}'
+        self._report(crash, suspects, effects)
+        self.answered()
+
+    def run_crashed(
+        self,
+        identity: UpstreamIdentity,
+        run: LeasedRun,
+        number: int,
+        now_s: float,
+        effects: list[Effect],
+    ) -> None:
+        """Reports a crash that only the end of a run shows.
+
+        Args:
+            identity: The incarnation that lists the end.
+            run: The run.
+            number: Number of the end.
+            now_s: The agent's clock.
+            effects: List to which effects are appended.
+        """
+        crash = f'{identity.upstream}/{identity.started_ms}/{number}'
+        self._report(crash, find_suspects([run], now_s), effects)
+
+    def _report(
+        self,
+        crash: str,
+        suspects: tuple[CrashSuspect, ...],
+        effects: list[Effect],
+    ) -> None:
         ages = ', '.join(
             f'{one.task.job}.{one.task.step}.{one.task.index} {one.age_s} s'
             for one in suspects
@@ -93,7 +122,7 @@
                 Record(
                     'upstream crashed',
                     subject=crash,
-                    detail=f'{len(runs)} runs, suspects {ages}',
+                    detail=f'suspects {ages}',
                     logged=True,
                 ),
             )
@@ -101,7 +130,6 @@
         if suspects:
             message = UpstreamCrashed(crash, suspects)
             self._sessions.send_all(message, effects)
-        self.answered()
 
 
 def find_suspects(
--- a/packages/core/cactushead_core/leasing/reconciler.py
+++ b/packages/core/cactushead_core/leasing/reconciler.py
@@ -66,7 +66,7 @@
         if self.crashed is not None:
             self._end_crashed(self.crashed, event, effects)
         for row in event.ended:
-            self._process_end(row, event.now_s, effects)
+            self._process_end(row, event, effects)
         self._compare_running(event, upstream, effects)
         self._stop_calls.call_all_due(
             self._runs, upstream, event.now_s, effects
@@ -96,7 +96,7 @@
     def _process_end(
         self,
         row: EndRow,
-        now_s: float,
+        event: LeasesRenewed,
         effects: list[Effect],
     ) -> None:
         if row.number <= self._calls.acknowledged:
@@ -105,7 +105,12 @@
         run = self._runs.find(row.task)
         if run is None or run.run != row.run or run.phase is Phase.QUEUED:
             return
+        now_s = event.now_s
         end = row.end
+        if end is RunEnd.CRASHED:
+            self._crash_reporter.run_crashed(
+                event.upstream, run, row.number, now_s, effects
+            )
         if end is RunEnd.STOPPED and run.end is not None:
             end = run.end
         if end is RunEnd.DONE:
--- a/packages/core/cactushead_core/tasks/model.py
+++ b/packages/core/cactushead_core/tasks/model.py
@@ -77,7 +77,7 @@
         STOPPED: It was stopped on request.
         LEASE_EXPIRED: Its lease expired.
         LOST: It terminated without a reported result.
-        CRASHED: Its upstream crashed.
+        CRASHED: Its upstream crashed, or broke off the exchange with it.
         RETURNED: It never started and was returned to the entry.
         NO_CAPACITY: It never started because the upstream had no free
             capacity at once and the task was not allowed to queue.
--- a/packages/node/cactushead_node/upstreams/leased.py
+++ b/packages/node/cactushead_node/upstreams/leased.py
@@ -244,7 +244,7 @@
             self._client.stop(StopRun(task_id))
         elif exchange.broken:
             self._exchanges.pop(task_id)
-            self._leases.record_end(exchange.task, RunEnd.LOST)
+            self._leases.record_end(exchange.task, RunEnd.CRASHED)
 
     def _deliver_heartbeat(self) -> None:
         """Delivers a heartbeat of the upstream, which is healthy."""
