Keep what ran when a silent upstream is found crashed

Cause: while an upstream is silent, each failed renewal after the end of the leases replaced the list of runs that lapsed, with an empty one from the second on. A crash that was found later named no task.

Change: the list grows until the upstream answers or a new incarnation is seen. The test has no answer without the change; a second one shows that a job is kept when its upstreams were only silent.

--- a/packages/core/cactushead_core/leasing/crashes.py
+++ b/packages/core/cactushead_core/leasing/crashes.py
@@ -48,7 +48,7 @@
         Args:
             runs: The runs.
         """
-        self._lapsed = runs
+        self._lapsed.extend(runs)
 
     def answered(self) -> None:
         """Records that the upstream has answered."""
