Dial two replacements for each entry that has failed

Cause: an agent that lost several entries at once dialled one replacement for each and noticed after a second that some of these were gone as well. With 14 of 40 entries lost at once one agent had five of six links after 3 s.

Change: two replacements are dialled for each failed entry; those that aren't needed are released as before. Links between entries are as before.

--- a/packages/core/cactushead_core/discovery/discovery.py
+++ b/packages/core/cactushead_core/discovery/discovery.py
@@ -14,6 +14,7 @@
     ENTRIES_PER_AGENT,
     MAX_FULL_MESH_ENTRIES,
     PEERS_PER_ENTRY,
+    REPLACEMENTS_PER_FAILED_ENTRY,
     Subset,
 )
 
@@ -62,7 +63,12 @@
         self._announcements = Announcements()
         self._is_agent = own.role is PeerRole.AGENT
         self._subset = (
-            Subset(own.name, ENTRIES_PER_AGENT, MAX_FULL_MESH_ENTRIES)
+            Subset(
+                own.name,
+                ENTRIES_PER_AGENT,
+                MAX_FULL_MESH_ENTRIES,
+                REPLACEMENTS_PER_FAILED_ENTRY,
+            )
             if self._is_agent
             else Subset(own.name, PEERS_PER_ENTRY, PEERS_PER_ENTRY)
         )
@@ -314,7 +320,9 @@
         entries = self._members.entries()
         if self._is_agent:
             names = [member.name for member in entries]
-            return self._subset.select(names, is_reachable)
+            return self._subset.select(
+                names, is_reachable, self.connected.__contains__
+            )
         if self.own.disk_incarnation:
             return frozenset(known.member.name for known in self._members)
         diskless = [
@@ -326,7 +334,9 @@
             if known.member.role is PeerRole.AGENT
             or known.member.disk_incarnation
         )
-        return others | self._subset.select(diskless, is_reachable)
+        return others | self._subset.select(
+            diskless, is_reachable, self.connected.__contains__
+        )
 
     def _should_dial(self, known: KnownMember, now_s: float) -> bool:
         if self._is_agent or known.missing_for_s(now_s) > DIAL_TAKEOVER_S:
--- a/packages/core/cactushead_core/discovery/subset.py
+++ b/packages/core/cactushead_core/discovery/subset.py
@@ -22,6 +22,10 @@
 # An entry reaches its peers through these if all entries with a disk fail.
 PEERS_PER_ENTRY = 3
 
+# An agent dials twice as many replacements as entries have failed, since those
+# that failed for the same reason are found only after a second.
+REPLACEMENTS_PER_FAILED_ENTRY = 2
+
 _WEIGHT_BYTES = 8
 
 
@@ -47,17 +51,26 @@
         but another one is selected in addition.
     """
 
-    def __init__(self, own: str, size: int, full_mesh: int) -> None:
+    def __init__(
+        self,
+        own: str,
+        size: int,
+        full_mesh: int,
+        replacements: int = 1,
+    ) -> None:
         """Starts without names.
 
         Args:
             own: Name of the process that selects.
             size: Number of reachable names to select.
             full_mesh: Number of names up to which all are selected.
+            replacements: Number of names that are tried at a time for each
+                that has failed.
         """
         self._own = own
         self._size = size
         self._full_mesh = full_mesh
+        self._replacements = replacements
         self._ranked: list[str] = []
         self._names: frozenset[str] = frozenset()
 
@@ -65,12 +78,14 @@
         self,
         names: Iterable[str],
         is_reachable: Callable[[str], bool],
+        is_connected: Callable[[str], bool],
     ) -> frozenset[str]:
         """Returns the selected names.
 
         Args:
             names: All names.
             is_reachable: Whether a name has not failed.
+            is_connected: Whether a name is connected.
         """
         known = frozenset(names)
         if known != self._names:
@@ -79,10 +94,15 @@
         if len(known) <= self._full_mesh:
             return known
         selected = []
-        reachable = 0
+        reachable = 0.0
+        failed = False
         for name in self._ranked:
             selected.append(name)
-            reachable += is_reachable(name)
+            if is_reachable(name):
+                pending = failed and not is_connected(name)
+                reachable += 1 / self._replacements if pending else 1
+            else:
+                failed = True
             if reachable >= self._size:
                 break
         return frozenset(selected)
