Don't take an unanswered start for a run under which its upstream crashed

Cause: a start call that was under way when another task crashed the upstream counted as a run there. The task then crashed a second upstream, the first that really ran it, at about the same time after the call.

Change: only crashes after a confirmed start are compared; a task whose starts aren't confirmed is given up after five. The test of the evidence has two crashes without the change.

--- a/packages/core/cactushead_core/dispatch/crashes.py
+++ b/packages/core/cactushead_core/dispatch/crashes.py
@@ -2,28 +2,30 @@
 
 import itertools
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Collection
 
-from ..tasks import CrashingJobFound, TaskRef, UpstreamCrashed
+from ..tasks import CrashingJobFound, CrashSuspect, TaskRef, UpstreamCrashed
 
 # Crashes under a task after which it is given up, even if they don't look
 # alike.
 MAX_CRASHES = 3
+# The same, with those whose start calls were not answered: such a call may have
+# come after the crash.
+MAX_CRASHES_UNCONFIRMED = 5
 # Two crashes look alike if the task had run for about the same time: their
 # cause repeats itself, while a task beside it has run for any time.
 AGE_TOLERANCE_S = 0.03
 AGE_TOLERANCE = 0.05
 
 
-# Ages of a task's runs by crash.
-_Ages = dict[str, float]
+# A task's runs by crash.
+_Suspects = dict[str, CrashSuspect]
 
 
 class CrashHistory:
     """Crashes by task that no other task is known to have caused.
 
     Examples:
-        >>> from cactushead_core.tasks import CrashSuspect
         >>> one, other = TaskRef('a', 0, 0), TaskRef('b', 0, 0)
         >>> history = CrashHistory(retention_s=10.0)
         >>> for crash, other_age_s in (('u1', 0.3), ('u2', 0.1)):
@@ -45,7 +47,7 @@
             retention_s: How long a crash is kept.
         """
         self._retention_s = retention_s
-        self._ages_s: dict[str, dict[TaskRef, _Ages]] = {}
+        self._suspects: dict[str, dict[TaskRef, _Suspects]] = {}
         self._explained: set[str] = set()
         self._order: deque[tuple[float, UpstreamCrashed]] = deque()
 
@@ -55,8 +57,8 @@
         Args:
             job: Id of the job.
         """
-        tasks = self._ages_s.get(job, {})
-        return any(_is_cause(ages_s.values()) for ages_s in tasks.values())
+        tasks = self._suspects.get(job, {})
+        return any(_is_cause(suspects.values()) for suspects in tasks.values())
 
     def is_suspect(self, job: str) -> bool:
         """Whether upstreams crashed under a job and the cause is unknown.
@@ -64,7 +66,7 @@
         Args:
             job: Id of the job.
         """
-        return job in self._ages_s
+        return job in self._suspects
 
     def record(self, report: UpstreamCrashed, now_s: float) -> None:
         """Records a crash, unless its cause is known.
@@ -78,8 +80,8 @@
             return
         for suspect in report.suspects:
             task = suspect.task
-            ages_s = self._ages_s.setdefault(task.job, {}).setdefault(task, {})
-            ages_s[report.crash] = suspect.age_s
+            tasks = self._suspects.setdefault(task.job, {})
+            tasks.setdefault(task, {})[report.crash] = suspect
 
     def found(self, job: str, queue: str) -> CrashingJobFound:
         """Returns the message that names a job as the cause of its crashes.
@@ -90,9 +92,9 @@
         """
         crashes = {
             crash
-            for ages_s in self._ages_s.get(job, {}).values()
-            if _is_cause(ages_s.values())
-            for crash in ages_s
+            for suspects in self._suspects.get(job, {}).values()
+            if _is_cause(suspects.values())
+            for crash in suspects
         }
         message = CrashingJobFound(job, queue, tuple(sorted(crashes)))
         self.explain(message)
@@ -124,18 +126,20 @@
     def _clear(self, report: UpstreamCrashed) -> None:
         for suspect in report.suspects:
             task = suspect.task
-            tasks = self._ages_s.get(task.job, {})
-            ages_s = tasks.get(task, {})
-            ages_s.pop(report.crash, None)
-            if not ages_s:
+            tasks = self._suspects.get(task.job, {})
+            suspects = tasks.get(task, {})
+            suspects.pop(report.crash, None)
+            if not suspects:
                 tasks.pop(task, None)
             if not tasks:
-                self._ages_s.pop(task.job, None)
+                self._suspects.pop(task.job, None)
 
 
-def _is_cause(ages_s: Iterable[float]) -> bool:
-    """Whether crashes at these ages of a task's runs are due to the task."""
-    ordered_s = sorted(ages_s)
+def _is_cause(suspects: Collection[CrashSuspect]) -> bool:
+    """Whether the crashes under a task's runs are due to the task."""
+    if len(suspects) >= MAX_CRASHES_UNCONFIRMED:
+        return True
+    ordered_s = sorted(one.age_s for one in suspects if one.started)
     return len(ordered_s) >= MAX_CRASHES or any(
         longer_s - shorter_s <= AGE_TOLERANCE_S + AGE_TOLERANCE * longer_s
         for shorter_s, longer_s in itertools.pairwise(ordered_s)
--- /dev/null
+++ b/packages/core/cactushead_core/dispatch/tests/test_crashes.py
@@ -0,0 +1,29 @@
+"""Evidence that a task crashes its upstreams."""
+
+from cactushead_core.dispatch.crashes import CrashHistory
+from cactushead_core.tasks import CrashSuspect, TaskRef, UpstreamCrashed
+
+TASK = TaskRef('a', 0, 0)
+
+
+def history_of(*suspects):
+    history = CrashHistory(retention_s=10.0)
+    for number, suspect in enumerate(suspects):
+        history.record(UpstreamCrashed(f'u{number}', (suspect,)), now_s=1.0)
+    return history
+
+
+# Guards against giving up a task that one upstream crashed under: the start
+# call to another one came after its crash and was not answered.
+def test_crash_before_a_confirmed_start_is_no_second_one():
+    unanswered = CrashSuspect(TASK, 0.02, started=False)
+    started = CrashSuspect(TASK, 0.03)
+    assert not history_of(unanswered, started).is_crashing('a')
+    assert not history_of(unanswered, unanswered).is_crashing('a')
+    assert history_of(started, unanswered, started).is_crashing('a')
+
+
+def test_task_that_crashes_before_its_start_is_confirmed_is_given_up():
+    suspects = [CrashSuspect(TASK, 0.02, started=False)] * 5
+    assert not history_of(*suspects[1:]).is_crashing('a')
+    assert history_of(*suspects).is_crashing('a')
--- a/packages/core/cactushead_core/leasing/crashes.py
+++ b/packages/core/cactushead_core/leasing/crashes.py
@@ -143,7 +143,11 @@
         crashed_s: Time of the first sign of the crash.
     """
     return tuple(
-        CrashSuspect(run.task, round(crashed_s - run.start_sent_s, AGE_DIGITS))
+        CrashSuspect(
+            run.task,
+            round(crashed_s - run.start_sent_s, AGE_DIGITS),
+            started=run.started_s > 0,
+        )
         for run in runs
         if run.start_sent_s <= crashed_s
     )
--- a/packages/core/cactushead_core/tasks/messages.py
+++ b/packages/core/cactushead_core/tasks/messages.py
@@ -150,11 +150,13 @@
 
     Attributes:
         task: The task.
-        age_s: Time from the start of its run to the crash.
+        age_s: Time from the start call of its run to the crash.
+        started: Whether the upstream confirmed the start.
     """
 
     task: TaskRef
     age_s: float
+    started: bool = True
 
 
 @wire_type(129)
