Process the ends that a restarted upstream lists before its losses

Cause: the first list after a restart ended all runs that it didn't show as running, also those that the new incarnation had started and completed, and those whose unanswered start calls may still reach it. Found on reading; the fault came with the reports of crashes. No test shows it: the simulated lists answer renewals that were sent before the start.

A test written for it found another one, in the code since leases were built: the acknowledgement of earlier ends reaches the new incarnation, which forgets ends of its own by it.

--- a/packages/core/cactushead_core/fleet/tests/test_silent_crash.py
+++ b/packages/core/cactushead_core/fleet/tests/test_silent_crash.py
@@ -1,5 +1,6 @@
-"""Upstreams that answer nothing, and are found crashed or well later."""
+"""Upstreams that answer nothing or restart, and what became of their runs."""
 
+import pytest
 from cactushead_core.tasks import JobEnd
 
 from .simulation import FleetSimulation
@@ -49,3 +50,30 @@
         world.run(1.5)
     assert job_ends(world, [number]) == [None]
     assert_invariants(world)
+
+
+# Guards against starting a run again that the new incarnation of its upstream
+# has completed before the first list after the restart.
+@pytest.mark.parametrize('offset_s', [0.1, 0.2, 0.3])
+def test_run_that_ends_before_the_first_list_after_a_restart_is_done(offset_s):
+    world = FleetSimulation(agents=1, run_s=0.05)
+    world.run(5 + offset_s)
+    world.processes['a0'].upstream.restart()
+    number = world.submit('e0')
+    world.run(2.0)
+    assert job_ends(world, [number]) == [JobEnd.COMPLETED]
+    assert len(world.history.starts) == 1
+
+
+# Guards against the same after earlier ends: the renewal that acknowledges them
+# reaches the new incarnation, which numbers its ends anew and forgets one.
+def test_acknowledgement_of_earlier_ends_hides_no_end_after_a_restart():
+    world = FleetSimulation(agents=1, run_s=0.05)
+    world.run(5)
+    world.submit('e0')
+    world.run(0.3)
+    world.processes['a0'].upstream.restart()
+    number = world.submit('e0')
+    world.run(2.0)
+    assert job_ends(world, [number]) == [JobEnd.COMPLETED]
+    assert len(world.history.starts) == 2
--- a/packages/core/cactushead_core/leasing/reconciler.py
+++ b/packages/core/cactushead_core/leasing/reconciler.py
@@ -63,10 +63,10 @@
             upstream: The upstream.
             effects: List to which effects are appended.
         """
-        if self.crashed is not None:
-            self._end_crashed(self.crashed, event, effects)
         for row in event.ended:
             self._process_end(row, event, effects)
+        if self.crashed is not None:
+            self._end_crashed(self.crashed, event, effects)
         self._compare_running(event, upstream, effects)
         self._stop_calls.call_all_due(
             self._runs, upstream, event.now_s, effects
@@ -79,14 +79,18 @@
         event: LeasesRenewed,
         effects: list[Effect],
     ) -> None:
-        """Ends the runs that the crashed incarnation had started."""
+        """Ends the runs that the crashed incarnation had started.
+
+        Explanation:
+            A start call that was not answered may still reach the new one.
+        """
         self.crashed = None
         listed = {(row.task, row.run) for row in event.running}
         gone = [
             run
             for run in self._runs.at_upstream()
-            if run.phase is not Phase.STARTING
-            and run.start_sent_s < event.sent_s
+            if run.phase is Phase.RUNNING
+            and run.started_s < event.sent_s
             and (run.task, run.run) not in listed
         ]
         self._crash_reporter.crashed(
