End a crashing job at all entries that have it

Cause: an entry that was told of a job given up elsewhere remembered it for later submissions, but went on with its own copy, and cleared the crashes that the copy had caused. An entry that hears of all agents gives it up by itself, so this matters where it hears of some. The test has no response without the change.

--- a/packages/core/cactushead_core/dispatch/dispatcher.py
+++ b/packages/core/cactushead_core/dispatch/dispatcher.py
@@ -269,8 +269,9 @@
         self,
         message: CrashingJobFound,
         now_s: float,
+        effects: list[Effect],
     ) -> bool:
-        """Records a crashing job that another entry found.
+        """Records a crashing job that another entry found, and ends it here.
 
         Returns:
             Whether it was not known.
@@ -278,7 +279,12 @@
         if self._recent.find(message.job) is JobEnd.FAILED:
             return False
         self._containment.crashing_job_found(message, now_s)
-        self._recent.add(message.job, JobEnd.FAILED, now_s)
+        open_job = self._jobs.get(message.job)
+        if open_job is None:
+            self._recent.add(message.job, JobEnd.FAILED, now_s)
+        else:
+            end = BestEffortEnded(JobEnd.FAILED, _CRASHING)
+            self._end_job(open_job, end, now_s, effects)
         return True
 
     def tick(self, now_s: float, effects: list[Effect]) -> None:
--- a/packages/core/cactushead_core/fleet/entry.py
+++ b/packages/core/cactushead_core/fleet/entry.py
@@ -207,7 +207,7 @@
         effects: list[Effect],
     ) -> None:
         """Records a crashing job; a voter, which has all links, relays it."""
-        new = self.dispatcher.on_crashing_job_found(message, now_s)
+        new = self.dispatcher.on_crashing_job_found(message, now_s, effects)
         if new and self.settings.own.name in self.discovery.voters:
             effects.extend(
                 Send(name, message)
