Confine a queue to agents that have the labels of its jobs

Cause: the agents of a confined queue were chosen by name only. A queue whose jobs require a label was refused if none of these had it. Found on reading; the test fails without the check of labels.

--- a/packages/core/cactushead_core/dispatch/agent_view.py
+++ b/packages/core/cactushead_core/dispatch/agent_view.py
@@ -29,7 +29,7 @@
         last_service: Service of its last upstream.
         ready: Whether tasks may be offered.
         capacity: Total resources of the upstream.
-        labels: Labels of the upstream.
+        labels: Labels of the upstream, of its last one if there is none.
         allocated_cpu_m: Allocated processor capacity in the last load report,
             in thousandths of a core.
         allocated_memory_mb: Allocated memory in the last load report.
@@ -88,7 +88,8 @@
         self.last_service = report.service or self.last_service
         self.ready = report.ready
         self.capacity = report.capacity
-        self.labels = report.labels
+        if report.service:
+            self.labels = report.labels
         self.last_offer = 0
         self.uncounted_offers.clear()
         self.uncounted_cpu_m = 0
--- a/packages/core/cactushead_core/dispatch/containment.py
+++ b/packages/core/cactushead_core/dispatch/containment.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from ..tasks import CrashingJobFound, UpstreamCrashed
+from ..tasks import BestEffortJob, CrashingJobFound, UpstreamCrashed
 from .agent_view import AgentView
 from .confinement import Confinement, confined_agents
 from .crashes import CrashHistory
@@ -61,29 +61,32 @@
 
     def select_agents(
         self,
-        queue: str,
-        service: str,
+        job: BestEffortJob,
         views: Iterable[AgentView],
     ) -> list[AgentView]:
-        """Returns the agents that may run the jobs of a queue.
+        """Returns the agents that may run a job.
 
         Explanation:
-            Other queues use the agents of confined ones only if there are no
-            other usable agents.
+            A job of a confined queue gets a part of the agents that have the
+            labels which it requires. Other queues use the agents of confined
+            ones only if there are no other usable agents.
 
         Args:
-            queue: Name of the queue.
-            service: Its service.
+            job: The job.
             views: All known agents.
         """
+        service = job.service
         if not self._confinement.active:
             return [view for view in views if view.service == service]
         # Agents whose upstream is down count too: another one would take the
         # place of an agent after each crash.
         served = [view for view in views if view.last_service == service]
+        if self._confinement.is_confined(job.queue):
+            labels = {step.required_label for step in job.steps} - {''}
+            served = [view for view in served if labels <= set(view.labels)]
         confined = confined_agents([view.name for view in served])
         inside = [view for view in served if view.name in confined]
-        if self._confinement.is_confined(queue):
+        if self._confinement.is_confined(job.queue):
             return inside
         outside = [view for view in served if view.name not in confined]
         return outside if any(view.usable for view in outside) else inside
--- a/packages/core/cactushead_core/dispatch/planner.py
+++ b/packages/core/cactushead_core/dispatch/planner.py
@@ -130,9 +130,7 @@
         return None
 
     def _agents_of(self, job: BestEffortJob) -> list[AgentView]:
-        return self._containment.select_agents(
-            job.queue, job.service, self._views.values()
-        )
+        return self._containment.select_agents(job, self._views.values())
 
 
 def _needed_cpu_m(open_job: OpenJob, task: OpenTask) -> int:
