--- a/packages/core/cactushead_core/dispatch/planner.py
+++ b/packages/core/cactushead_core/dispatch/planner.py
@@ -54,7 +54,7 @@
             placement: The placement policy.
             times: Estimated run times.
             views: The agents by name, updated by the dispatcher.
-            containment: Selects the agents of a queue.
+            containment: Selects the agents that may run a job.
         """
         self._containment = containment
         self._placement = placement
