Select the agents of a queue by what each step needs

Callers would see: while any queue is confined, a job of another queue is refused if only agents of the confined one have its label or size; a confined queue is refused if the first agents by hash are too small for it, or if its steps require different labels.

Cause: agents were selected for a whole job, by the labels of all its steps, without their size, and other queues fell back to the confined agents only if none of the others was usable at all.

Change: agents are selected for each step. A view keeps service, capacity and labels of the last upstream while there is none, which replaces the second field for the service.

--- a/packages/core/cactushead_core/dispatch/agent_view.py
+++ b/packages/core/cactushead_core/dispatch/agent_view.py
@@ -25,11 +25,11 @@
         connected: Whether the link to the agent is up.
         lost_s: Time at which the link was lost.
         session: Session of the agent's last report, 0 before the first.
-        service: Service of the agent's upstream; empty without an upstream.
-        last_service: Service of its last upstream.
+        service: Service of the agent's upstream, of the last one if it has
+            none.
         ready: Whether tasks may be offered.
-        capacity: Total resources of the upstream.
-        labels: Labels of the upstream, of its last one if there is none.
+        capacity: Total resources of the same upstream.
+        labels: Labels of the same upstream.
         allocated_cpu_m: Allocated processor capacity in the last load report,
             in thousandths of a core.
         allocated_memory_mb: Allocated memory in the last load report.
@@ -51,7 +51,6 @@
     lost_s: float = 0.0
     session: int = 0
     service: str = ''
-    last_service: str = ''
     ready: bool = False
     capacity: Resources = Resources()
     labels: tuple[str, ...] = ()
@@ -84,11 +83,10 @@
             report: The report that starts the session.
         """
         self.session = report.session
-        self.service = report.service
-        self.last_service = report.service or self.last_service
         self.ready = report.ready
-        self.capacity = report.capacity
         if report.service:
+            self.service = report.service
+            self.capacity = report.capacity
             self.labels = report.labels
         self.last_offer = 0
         self.uncounted_offers.clear()
--- a/packages/core/cactushead_core/dispatch/containment.py
+++ b/packages/core/cactushead_core/dispatch/containment.py
@@ -2,10 +2,16 @@
 
 from collections.abc import Iterable
 
-from ..tasks import BestEffortJob, CrashingJobFound, UpstreamCrashed
+from ..tasks import (
+    BestEffortJob,
+    CrashingJobFound,
+    JobStep,
+    UpstreamCrashed,
+)
 from .agent_view import AgentView
 from .confinement import Confinement, confined_agents
 from .crashes import CrashHistory
+from .placement import can_run, is_suited
 
 
 class CrashContainment:
@@ -62,34 +68,33 @@
     def select_agents(
         self,
         job: BestEffortJob,
+        step: JobStep,
         views: Iterable[AgentView],
     ) -> list[AgentView]:
-        """Returns the agents that may run a job.
+        """Returns the agents that may run a step of a job.
 
         Explanation:
-            A job of a confined queue gets a part of the agents that have the
-            labels which it requires. Other queues use the agents of confined
-            ones only if there are no other usable agents.
+            A step of a confined queue gets a part of the agents whose
+            upstreams are suited to it. Other queues use the agents of confined
+            ones only if no other agent can run the step. An agent keeps its
+            place while its upstream is down; otherwise each crash would expose
+            another one.
 
         Args:
             job: The job.
+            step: The step.
             views: All known agents.
         """
-        service = job.service
+        served = [view for view in views if view.service == job.service]
         if not self._confinement.active:
-            return [view for view in views if view.service == service]
-        # Agents whose upstream is down count too: another one would take the
-        # place of an agent after each crash.
-        served = [view for view in views if view.last_service == service]
+            return served
         if self._confinement.is_confined(job.queue):
-            labels = {step.required_label for step in job.steps} - {''}
-            served = [view for view in served if labels <= set(view.labels)]
+            suited = [view for view in served if is_suited(view, step)]
+            chosen = confined_agents([view.name for view in suited])
+            return [view for view in suited if view.name in chosen]
         confined = confined_agents([view.name for view in served])
-        inside = [view for view in served if view.name in confined]
-        if self._confinement.is_confined(job.queue):
-            return inside
-        outside = [view for view in served if view.name not in confined]
-        return outside if any(view.usable for view in outside) else inside
+        others = [view for view in served if view.name not in confined]
+        return others if any(can_run(view, step) for view in others) else served
 
     def upstream_crashed(self, report: UpstreamCrashed, now_s: float) -> None:
         """Records a crash.
--- a/packages/core/cactushead_core/dispatch/placement.py
+++ b/packages/core/cactushead_core/dispatch/placement.py
@@ -55,7 +55,7 @@
             candidates: Agents of the service that are eligible for the task.
             now_s: The monotonic clock of the process.
         """
-        fitting = [view for view in candidates if _can_run(view, step)]
+        fitting = [view for view in candidates if can_run(view, step)]
         if not fitting:
             return None
         return self._choose(step, expected_s, fitting, now_s)
@@ -67,7 +67,7 @@
             step: The step.
             candidates: Agents of the service.
         """
-        return any(_can_run(view, step) for view in candidates)
+        return any(can_run(view, step) for view in candidates)
 
     @abstractmethod
     def _choose(
@@ -151,7 +151,23 @@
     return view.mean_run_s * excess_cpu_m / max(view.capacity.cpu_m, 1)
 
 
-def _can_run(view: AgentView, step: JobStep) -> bool:
+def can_run(view: AgentView, step: JobStep) -> bool:
+    """Whether an agent can run the tasks of a step now.
+
+    Args:
+        view: The agent.
+        step: The step.
+    """
+    return view.usable and is_suited(view, step)
+
+
+def is_suited(view: AgentView, step: JobStep) -> bool:
+    """Whether an agent's upstream has the label and the size for a step.
+
+    Args:
+        view: The agent.
+        step: The step.
+    """
     if step.required_label and step.required_label not in view.labels:
         return False
-    return view.usable and view.capacity.can_fit(step.needs)
+    return view.capacity.can_fit(step.needs)
--- a/packages/core/cactushead_core/dispatch/planner.py
+++ b/packages/core/cactushead_core/dispatch/planner.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from ..tasks import BestEffortJob
+from ..tasks import BestEffortJob, JobStep
 from .agent_view import AgentView
 from .containment import CrashContainment
 from .estimates import RunTimes
@@ -75,10 +75,15 @@
         task_counts = Counter(
             (task.agent, task.ref.step) for task in open_job.tasks.values()
         )
-        agents = self._agents_of(open_job.job)
+        job = open_job.job
+        numbers = {task.ref.step for task in open_job.unplaced()}
+        agents = {
+            number: self._agents_of(job, job.steps[number])
+            for number in numbers
+        }
         for task in open_job.unplaced():
             planned = self._plan_task(
-                open_job, task, agents, task_counts, now_s
+                open_job, task, agents[task.ref.step], task_counts, now_s
             )
             if planned is not None:
                 plan.append(planned)
@@ -97,8 +102,10 @@
         Args:
             job: The job.
         """
-        agents = self._agents_of(job)
-        return all(self._placement.fits(step, agents) for step in job.steps)
+        return all(
+            self._placement.fits(step, self._agents_of(job, step))
+            for step in job.steps
+        )
 
     def _plan_task(
         self,
@@ -129,8 +136,8 @@
         task.excluded_agents.clear()
         return None
 
-    def _agents_of(self, job: BestEffortJob) -> list[AgentView]:
-        return self._containment.select_agents(job, self._views.values())
+    def _agents_of(self, job: BestEffortJob, step: JobStep) -> list[AgentView]:
+        return self._containment.select_agents(job, step, self._views.values())
 
 
 def _needed_cpu_m(open_job: OpenJob, task: OpenTask) -> int:
