Forget explained crashes after the retention time

Cause: the name of an explained crash was removed with its report only. An entry that hears of the cause from another entry, and not of the crash from its agent, kept the name for as long as it ran. Class of fault: state whose removal depends on a message that may not come.

Change: each name has a time and is evicted by it. Found on reading; the test fails if names are evicted with reports only, since the crash is ignored then.

--- a/packages/core/cactushead_core/dispatch/containment.py
+++ b/packages/core/cactushead_core/dispatch/containment.py
@@ -118,7 +118,7 @@
         Returns:
             The message for the other entries.
         """
-        message = self._history.found(job, queue)
+        message = self._history.found(job, queue, now_s)
         self._confinement.crashing_job_found(queue, now_s)
         return message
 
@@ -131,7 +131,7 @@
             message: The job and its crashes.
             now_s: The monotonic clock of the process.
         """
-        self._history.explain(message)
+        self._history.explain(message, now_s)
         self._confinement.crashing_job_found(message.queue, now_s)
 
     def tick(self, now_s: float) -> None:
--- a/packages/core/cactushead_core/dispatch/crashes.py
+++ b/packages/core/cactushead_core/dispatch/crashes.py
@@ -17,7 +17,6 @@
 AGE_TOLERANCE_S = 0.03
 AGE_TOLERANCE = 0.05
 
-
 # A task's runs by crash.
 _Suspects = dict[str, CrashSuspect]
 
@@ -36,7 +35,7 @@
         ...     history.record(UpstreamCrashed(crash, suspects), now_s=1.0)
         >>> history.is_crashing('a'), history.is_crashing('b')
         (True, False)
-        >>> history.found('a', 'queue')
+        >>> history.found('a', 'queue', now_s=1.0)
         CrashingJobFound(job='a', queue='queue', crashes=('u1', 'u2'))
     """
 
@@ -48,7 +47,7 @@
         """
         self._retention_s = retention_s
         self._suspects: dict[str, dict[TaskRef, _Suspects]] = {}
-        self._explained: set[str] = set()
+        self._explained_s: dict[str, float] = {}
         self._order: deque[tuple[float, UpstreamCrashed]] = deque()
 
     def is_crashing(self, job: str) -> bool:
@@ -76,19 +75,20 @@
             now_s: The monotonic clock of the process.
         """
         self._order.append((now_s, report))
-        if report.crash in self._explained:
+        if report.crash in self._explained_s:
             return
         for suspect in report.suspects:
             task = suspect.task
             tasks = self._suspects.setdefault(task.job, {})
             tasks.setdefault(task, {})[report.crash] = suspect
 
-    def found(self, job: str, queue: str) -> CrashingJobFound:
+    def found(self, job: str, queue: str, now_s: float) -> CrashingJobFound:
         """Returns the message that names a job as the cause of its crashes.
 
         Args:
             job: Id of the job.
             queue: Its queue.
+            now_s: The monotonic clock of the process.
         """
         crashes = {
             crash
@@ -97,16 +97,17 @@
             for crash in suspects
         }
         message = CrashingJobFound(job, queue, tuple(sorted(crashes)))
-        self.explain(message)
+        self.explain(message, now_s)
         return message
 
-    def explain(self, message: CrashingJobFound) -> None:
+    def explain(self, message: CrashingJobFound, now_s: float) -> None:
         """Clears all tasks of the crashes that one job caused.
 
         Args:
             message: The job and its crashes.
+            now_s: The monotonic clock of the process.
         """
-        self._explained.update(message.crashes)
+        self._explained_s.update(dict.fromkeys(message.crashes, now_s))
         for _, report in self._order:
             if report.crash in message.crashes:
                 self._clear(report)
@@ -119,9 +120,10 @@
         """
         order = self._order
         while order and now_s - order[0][0] > self._retention_s:
-            report = order.popleft()[1]
-            self._explained.discard(report.crash)
-            self._clear(report)
+            self._clear(order.popleft()[1])
+        for crash, explained_s in list(self._explained_s.items()):
+            if now_s - explained_s > self._retention_s:
+                self._explained_s.pop(crash)
 
     def _clear(self, report: UpstreamCrashed) -> None:
         for suspect in report.suspects:
--- a/packages/core/cactushead_core/dispatch/tests/test_crashes.py
+++ b/packages/core/cactushead_core/dispatch/tests/test_crashes.py
@@ -1,7 +1,12 @@
 """Evidence that a task crashes its upstreams."""
 
 from cactushead_core.dispatch.crashes import CrashHistory
-from cactushead_core.tasks import CrashSuspect, TaskRef, UpstreamCrashed
+from cactushead_core.tasks import (
+    CrashingJobFound,
+    CrashSuspect,
+    TaskRef,
+    UpstreamCrashed,
+)
 
 TASK = TaskRef('a', 0, 0)
 
@@ -27,3 +32,15 @@
     suspects = [CrashSuspect(TASK, 0.02, started=False)] * 5
     assert not history_of(*suspects[1:]).is_crashing('a')
     assert history_of(*suspects).is_crashing('a')
+
+
+# Guards against names of explained crashes that are kept for ever: an entry may
+# hear of the cause of a crash and never of the crash itself.
+def test_explained_crash_is_forgotten_without_its_report():
+    history = CrashHistory(retention_s=10.0)
+    history.explain(CrashingJobFound('a', 'q', ('u1',)), now_s=1.0)
+    history.evict_expired(now_s=12.0)
+    for crash in ('u1', 'u2'):
+        suspects = (CrashSuspect(TASK, 0.02),)
+        history.record(UpstreamCrashed(crash, suspects), now_s=12.0)
+    assert history.is_crashing('a')
