Name crash notifications and the release of a queue by field terms

A message that one process sends to others notifies them; the constant says what happens after the time rather than that something is remembered. No behaviour changes.

--- a/packages/core/cactushead_core/dispatch/confinement.py
+++ b/packages/core/cactushead_core/dispatch/confinement.py
@@ -6,9 +6,9 @@
 
 # A single bad job is no reason to confine its queue.
 CONFINING_JOBS = 2
-# Longer than an upstream takes to restart after a crash, during which the
-# queue can crash nothing.
-MEMORY_S = 10.0
+# A queue is released this long after its last crashing job: longer than an
+# upstream takes to restart, during which the queue can crash nothing.
+RELEASE_AFTER_S = 10.0
 # The other upstreams can serve the other queues at usual load.
 CONFINED_SHARE = 0.2
 
@@ -71,7 +71,9 @@
             now_s: The monotonic clock of the process.
         """
         for queue, times_s in list(self._found_s.items()):
-            recent_s = [one for one in times_s if now_s - one <= MEMORY_S]
+            recent_s = [
+                one for one in times_s if now_s - one <= RELEASE_AFTER_S
+            ]
             self._found_s[queue] = recent_s
             if not recent_s:
                 self._found_s.pop(queue)
--- a/packages/core/cactushead_core/dispatch/dispatcher.py
+++ b/packages/core/cactushead_core/dispatch/dispatcher.py
@@ -34,7 +34,7 @@
 _UPSTREAM_FAULTS = frozenset((RunEnd.FAILED, RunEnd.STALLED))
 # Results of runs that never started.
 _NEVER_STARTED = frozenset((RunEnd.RETURNED, RunEnd.NO_CAPACITY))
-_CRASHING = 'upstreams crashed under it'
+_CRASHING_CAUSE = 'upstreams crashed under it'
 
 
 class Dispatcher:
@@ -283,7 +283,7 @@
         if open_job is None:
             self._recent.add(message.job, JobEnd.FAILED, now_s)
         else:
-            end = BestEffortEnded(JobEnd.FAILED, _CRASHING)
+            end = BestEffortEnded(JobEnd.FAILED, _CRASHING_CAUSE)
             self._end_job(open_job, end, now_s, effects)
         return True
 
@@ -361,7 +361,7 @@
         now_s: float,
         effects: list[Effect],
     ) -> None:
-        """Fails a job that crashes its upstreams and tells all entries."""
+        """Fails a job that crashes its upstreams and notifies all entries."""
         job = open_job.job
         found = self._containment.job_given_up(job.job, job.queue, now_s)
         effects.append(
@@ -373,7 +373,7 @@
             ),
         )
         effects.extend(Send(name, found) for name in self._find_entries())
-        end = BestEffortEnded(JobEnd.FAILED, _CRASHING)
+        end = BestEffortEnded(JobEnd.FAILED, _CRASHING_CAUSE)
         self._end_job(open_job, end, now_s, effects)
 
     def _handle_result(
--- a/packages/core/cactushead_core/leasing/crashes.py
+++ b/packages/core/cactushead_core/leasing/crashes.py
@@ -7,6 +7,7 @@
 from .runs import LeasedRun
 from .sessions import Sessions
 
+# Ages are reported in milliseconds.
 AGE_DIGITS = 3
 
 
@@ -66,8 +67,8 @@
         """Ends the runs that were at a crashed upstream.
 
         Explanation:
-            All entries are told, since the caller of a job whose owner is
-            lost sends it to another one.
+            All entries are notified, since the caller of a job whose owner
+            is lost sends it to another one.
 
         Args:
             identity: The incarnation that crashed.
--- a/packages/core/cactushead_core/tasks/messages.py
+++ b/packages/core/cactushead_core/tasks/messages.py
@@ -162,7 +162,7 @@
 @wire_type(129)
 @dataclass(frozen=True, slots=True)
 class UpstreamCrashed(Message):
-    """An agent tells all entries which tasks may have crashed its upstream.
+    """Notifies all entries of a crash of an agent's upstream.
 
     Attributes:
         crash: Identity of the crash.
@@ -176,7 +176,7 @@
 @wire_type(136)
 @dataclass(frozen=True, slots=True)
 class CrashingJobFound(Message):
-    """An entry tells the others which job crashes its upstreams.
+    """Notifies the other entries of a job that crashes its upstreams.
 
     Attributes:
         job: Id of the job.
