Split incarnations and owners from the lease manager

What begins and ends incarnations of the upstream, and what stops the runs of cancelled jobs and lost entries, are classes of their own now, each with the state that only it changes. The code moved as it was; the cause of an oversized task has one name in both modules.

--- a/packages/core/cactushead_core/leasing/lease_manager.py
+++ b/packages/core/cactushead_core/leasing/lease_manager.py
@@ -13,16 +13,16 @@
     StopCallCompleted,
     UpstreamDeregistered,
 )
-from .model import Heartbeat, StartAnswer, UpstreamIdentity, UpstreamState
+from .incarnations import TOO_LARGE, Incarnations
+from .model import Heartbeat, StartAnswer, UpstreamIdentity
 from .outbox import Outbox
+from .owners import Owners
 from .reconciler import RunReconciler
 from .runs import LeasedRun, Phase, RunTable, run_record
 from .sessions import Sessions
 from .settings import LeasingSettings
 from .stop_calls import StopCalls
-from .upstream_tracker import NO_HEARTBEAT, UpstreamTracker
-
-_TOO_LARGE = 'larger than the upstream'
+from .upstream_tracker import UpstreamTracker
 
 
 class LeaseManager:
@@ -58,9 +58,20 @@
             self._outbox,
             self._crash_reporter,
         )
-        self._draining = False
-        self._report_due = False
-        self._lost_owners: dict[Peer, float] = {}
+        self._incarnations = Incarnations(
+            self.runs,
+            self._tracker,
+            self._calls,
+            self._reconciler,
+            self._outbox,
+            self._crash_reporter,
+        )
+        self._owners = Owners(
+            self.runs,
+            self._tracker,
+            self._stop_calls,
+            settings.owner_grace_s,
+        )
 
     @property
     def upstream(self) -> Heartbeat | None:
@@ -84,7 +95,7 @@
     @property
     def ready(self) -> bool:
         """Whether new tasks may start."""
-        return self._tracker.accepts_tasks and not self._draining
+        return self._incarnations.ready
 
     # Heartbeats and shutdown of the upstream.
 
@@ -94,31 +105,13 @@
         effects: list[Effect],
     ) -> None:
         """Processes a heartbeat; one older than the known one is ignored."""
-        heartbeat = event.heartbeat
-        known = self.upstream
-        if not self._tracker.is_newer(heartbeat):
-            return
-        if known is None or known.identity != heartbeat.identity:
-            self._begin_incarnation(heartbeat, event.now_s, effects)
-        self._tracker.upstream = heartbeat
-        if not self._calls.clock.known:
-            self._calls.clock.observe(heartbeat.clock_ms, event.now_s)
-        if known is not None and _differs(known, heartbeat):
-            for run in self.runs.oversized(heartbeat.capacity):
-                self._outbox.finish(
-                    run, RunEnd.RETURNED, event.now_s, _TOO_LARGE
-                )
-            self._report_change(event.now_s)
+        self._incarnations.heartbeat_received(event, effects)
 
     def deregistered(
         self, event: UpstreamDeregistered, effects: list[Effect]
     ) -> None:
         """Ends all runs when the upstream announces its shutdown."""
-        known = self.upstream
-        if known is not None and known.identity.upstream == event.upstream:
-            self._end_incarnation(
-                'upstream left', event.now_s, effects, crashed=False
-            )
+        self._incarnations.deregistered(event, effects)
 
     # Messages and connections of entries.
 
@@ -156,9 +149,7 @@
         effects: list[Effect],
     ) -> None:
         """Removes queued runs of an owner's job and stops started ones."""
-        for run in self.runs.of_owner(sender):
-            if run.task.job == job:
-                self._cancel_run(run, 'withdrawn', now_s, effects)
+        self._owners.cancel_job(sender, job, now_s, effects)
 
     def entry_connected(
         self,
@@ -167,11 +158,8 @@
         effects: list[Effect],
     ) -> None:
         """Opens a session; stops runs of the entry's earlier incarnation."""
-        self._lost_owners.pop(peer, None)
         self._sessions.connected(peer)
-        for owner in list(self._lost_owners):
-            if owner.name == peer.name:
-                self._drop_owner(owner, now_s, effects)
+        self._owners.connected(peer, now_s, effects)
 
     def release(self, names: list[str]) -> list[str]:
         """Ends the sessions with entries whose links are not needed.
@@ -203,8 +191,7 @@
     def entry_lost(self, peer: Peer, now_s: float) -> None:
         """Starts the grace period of a disconnected entry's runs."""
         self._sessions.disconnected(peer)
-        if self.runs.of_owner(peer):
-            self._lost_owners[peer] = now_s + self._settings.owner_grace_s
+        self._owners.disconnected(peer, now_s)
 
     # Answers to calls.
 
@@ -275,8 +262,8 @@
         self._calls.renewal_pending = False
         if not self._tracker.matches(event.upstream):
             return
-        if self._adopt_incarnation(event.upstream, effects):
-            self._report_change(event.now_s)
+        if self._incarnations.adopt(event.upstream, effects):
+            self._incarnations.report_change(event.now_s)
         if self._reconciler.crashed is None:
             self._crash_reporter.answered()
         self._calls.clock.observe(event.clock_ms, event.now_s)
@@ -295,7 +282,7 @@
             )
         if not self._tracker.reconciled and not self._calls.has_unknown_runs:
             self._tracker.reconciled = True
-            self._report_due = True
+            self._incarnations.report_due = True
         self._renew(event.now_s, effects)
 
     def renewal_failed(
@@ -323,10 +310,12 @@
         pause_s = 0.0 if first else self._settings.retry_s
         self._calls.next_renewal_s = event.now_s + pause_s
         if event.refused:
-            self._end_incarnation(event.cause, event.now_s, effects)
+            self._incarnations.end(event.cause, event.now_s, effects)
         elif event.now_s > self._calls.latest_lease_end_s:
             self._crash_reporter.leases_lapsed(self.runs.at_upstream())
-            self._finish_all(RunEnd.LEASE_EXPIRED, 'lease lapsed', event.now_s)
+            self._incarnations.finish_all(
+                RunEnd.LEASE_EXPIRED, 'lease lapsed', event.now_s
+            )
         self._renew(event.now_s, effects)
 
     # Timers.
@@ -336,9 +325,7 @@
         self._renew(now_s, effects)
         self._stop_calls.stop_unconfirmed(self.runs, now_s)
         self._stop_calls.call_all_due(self.runs, self.upstream, now_s, effects)
-        for owner, until_s in list(self._lost_owners.items()):
-            if now_s >= until_s:
-                self._drop_owner(owner, now_s, effects)
+        self._owners.tick(now_s, effects)
 
     def end_turn(self, now_s: float, effects: list[Effect]) -> None:
         """Starts queued runs that fit and sends results and reports."""
@@ -353,10 +340,10 @@
         self._sessions.report(
             self.upstream,
             ready=self.ready,
-            new_sessions=self._report_due,
+            new_sessions=self._incarnations.report_due,
             effects=effects,
         )
-        self._report_due = False
+        self._incarnations.report_due = False
         capacity_cpu_m = 0
         if self.upstream is not None:
             capacity_cpu_m = self.upstream.capacity.cpu_m
@@ -366,8 +353,8 @@
 
     def drain(self, now_s: float) -> None:
         """Stops accepting tasks and returns the queued ones."""
-        self._draining = True
-        self._report_change(now_s)
+        self._incarnations.draining = True
+        self._incarnations.report_change(now_s)
 
     # Helpers.
 
@@ -390,7 +377,7 @@
         if self.upstream is None or not self.ready:
             return 'upstream takes no tasks'
         if not self.upstream.capacity.can_fit(run.needs):
-            return _TOO_LARGE
+            return TOO_LARGE
         known = self.runs.find(run.task)
         if known is None:
             return ''
@@ -429,135 +416,6 @@
             )
             effects.append(renewal)
 
-    def _cancel_run(
-        self,
-        run: LeasedRun,
-        cause: str,
-        now_s: float,
-        effects: list[Effect],
-    ) -> None:
-        if run.phase is Phase.QUEUED:
-            self.runs.remove(run)
-        else:
-            self._stop_calls.mark_stopping(run, RunEnd.STOPPED, cause, now_s)
-            self._stop_calls.call_if_due(run, self.upstream, now_s, effects)
-
-    def _drop_owner(
-        self,
-        owner: Peer,
-        now_s: float,
-        effects: list[Effect],
-    ) -> None:
-        self._lost_owners.pop(owner, None)
-        runs = self.runs.of_owner(owner)
-        effects.append(
-            Record(
-                'owner lost',
-                subject=owner.name,
-                detail=f'{len(runs)} runs end',
-                logged=True,
-            ),
-        )
-        for run in runs:
-            self._cancel_run(run, 'owner lost', now_s, effects)
-
-    def _begin_incarnation(
-        self,
-        heartbeat: Heartbeat,
-        now_s: float,
-        effects: list[Effect],
-    ) -> None:
-        if self._tracker.matches(heartbeat.identity):
-            self._adopt_incarnation(heartbeat.identity, effects)
-            return
-        if self.upstream is not None:
-            self._end_incarnation('another upstream', now_s, effects)
-        effects.append(
-            Record(
-                'upstream announced',
-                subject=heartbeat.identity.upstream,
-                detail=f'{heartbeat.service} {heartbeat.capacity}',
-                logged=True,
-            ),
-        )
-        self._tracker.track_new()
-        self._calls.reset()
-        self._calls.next_renewal_s = now_s
-
-    def _adopt_incarnation(
-        self,
-        identity: UpstreamIdentity,
-        effects: list[Effect],
-    ) -> bool:
-        """Switches to a newer incarnation of the upstream with the same id.
-
-        Explanation:
-            Start calls in flight may be executed by the new incarnation, so
-            its next list decides which runs are lost.
-
-        Returns:
-            Whether it is newer than the known one.
-        """
-        known = self.upstream
-        if known is None or not self._tracker.update_incarnation(identity):
-            return False
-        self._reconciler.crashed = known.identity
-        effects.append(
-            Record(
-                'upstream restarted',
-                subject=identity.upstream,
-                detail=f'{len(self.runs)} runs to look for',
-                logged=True,
-            ),
-        )
-        self._calls.reset()
-        return True
-
-    def _end_incarnation(
-        self,
-        cause: str,
-        now_s: float,
-        effects: list[Effect],
-        *,
-        crashed: bool = True,
-    ) -> None:
-        """Ends all runs, since the upstream incarnation ended.
-
-        Explanation:
-            One that ends without having announced it has crashed.
-        """
-        known = self.upstream
-        effects.append(
-            Record(
-                'upstream gone',
-                subject='' if known is None else known.identity.upstream,
-                detail=f'{cause}, {len(self.runs)} runs',
-                logged=True,
-            ),
-        )
-        if known is not None and known.state is UpstreamState.READY and crashed:
-            self._crash_reporter.crashed(
-                known.identity,
-                self.runs.at_upstream(),
-                cause,
-                now_s,
-                effects,
-            )
-        self._finish_all(RunEnd.LOST, cause, now_s)
-        self._tracker.mark_gone()
-        self._calls.renewal_pending = False
-        self._report_change(now_s)
-
-    def _report_change(self, now_s: float) -> None:
-        if not self.ready:
-            for run in self.runs.queued():
-                self._outbox.finish(run, RunEnd.RETURNED, now_s, 'not ready')
-        self._report_due = True
-
-    def _finish_all(self, end: RunEnd, cause: str, now_s: float) -> None:
-        for run in self.runs.at_upstream():
-            self._outbox.finish(run, run.end or end, now_s, cause)
-
 
 def _make_run(
     sender: Peer,
@@ -575,15 +433,3 @@
         offer.expected_s,
         offer.may_wait,
     )
-
-
-def _differs(known: Heartbeat, heartbeat: Heartbeat) -> bool:
-    return known.sequence == NO_HEARTBEAT or (
-        (known.state, known.capacity, known.labels, known.service)
-        != (
-            heartbeat.state,
-            heartbeat.capacity,
-            heartbeat.labels,
-            heartbeat.service,
-        )
-    )
