Split open jobs and crashing jobs from the dispatcher

Open jobs with their final states, and what gives up the jobs that crash their upstreams, are classes of their own now; the entry hands reports of crashes to the latter. The code moved as it was.

--- a/packages/core/cactushead_core/dispatch/dispatcher.py
+++ b/packages/core/cactushead_core/dispatch/dispatcher.py
@@ -6,27 +6,26 @@
 from ..events import Peer
 from ..tasks import (
     CancelBestEffortJob,
-    CrashingJobFound,
     JobEnd,
     JobPhase,
     RunEnd,
     RunResult,
     RunsEnded,
     TaskRef,
-    UpstreamCrashed,
     UpstreamLoad,
     UpstreamReport,
 )
 from .admission import Admission, refusal_record
 from .agent_view import AgentView
 from .containment import CrashContainment
+from .crashing_jobs import CrashingJobs
 from .estimates import RunTimes
 from .events import BestEffortSubmitted, CancelRequested
 from .job import OpenJob, OpenTask
 from .offers import offer_planned
+from .open_jobs import OpenJobs
 from .placement import EarliestCompletion, Placement
 from .planner import PlannedTask, Planner
-from .recent import RecentJobEnds
 from .responses import BestEffortEnded, CancelAnswered
 from .settings import DispatchSettings
 
@@ -34,7 +33,6 @@
 _UPSTREAM_FAULTS = frozenset((RunEnd.FAILED, RunEnd.STALLED))
 # Results of runs that never started.
 _NEVER_STARTED = frozenset((RunEnd.RETURNED, RunEnd.NO_CAPACITY))
-_CRASHING_CAUSE = 'upstreams crashed under it'
 
 
 class Dispatcher:
@@ -45,6 +43,9 @@
         expected completion time and queues there, so that no capacity is
         idle for the duration of a message exchange. A task is offered again
         only when its previous run is known to have ended.
+
+    Attributes:
+        crashing_jobs: Gives up the jobs that crash their upstreams.
     """
 
     def __init__(
@@ -66,7 +67,6 @@
         self._times = RunTimes()
         self._admission = Admission(settings, self._times)
         self._views: dict[str, AgentView] = {}
-        self._find_entries = find_entries
         self._containment = CrashContainment(settings.outcome_retention_s)
         self._planner = Planner(
             placement or EarliestCompletion(settings.far_factor, seed),
@@ -74,8 +74,10 @@
             self._views,
             self._containment,
         )
-        self._jobs: dict[str, OpenJob] = {}
-        self._recent = RecentJobEnds(settings.outcome_retention_s)
+        self._jobs = OpenJobs(self._views, settings.outcome_retention_s)
+        self.crashing_jobs = CrashingJobs(
+            self._jobs, self._containment, find_entries
+        )
 
     @property
     def idle(self) -> bool:
@@ -102,10 +104,7 @@
         Args:
             job: Id of the job.
         """
-        open_job = self._jobs.get(job)
-        if open_job is None:
-            return self._recent.find(job)
-        return JobPhase.RUNNING if open_job.offered else JobPhase.QUEUED
+        return self._jobs.state(job)
 
     def pending(self, queue: str) -> int:
         """Returns the number of open jobs of a queue without any offer yet.
@@ -113,10 +112,7 @@
         Args:
             queue: Name of the queue.
         """
-        return sum(
-            open_job.job.queue == queue and not open_job.offered
-            for open_job in self._jobs.values()
-        )
+        return self._jobs.pending(queue)
 
     # Requests of callers.
 
@@ -134,19 +130,19 @@
         """
         job = event.job
         now_s = event.now_s
-        known = self._jobs.get(job.job)
+        known = self._jobs.find(job.job)
         if known is not None:
             known.request_ids.append(event.request_id)
             return
-        earlier = self._recent.find(job.job)
+        earlier = self._jobs.find_end(job.job)
         if earlier is not None:
             end = BestEffortEnded(earlier, 'sent again')
             effects.append(Respond(event.request_id, end))
             return
         open_job = OpenJob(job, event.request_id, now_s)
         if self._containment.is_crashing(job.job):
-            self._jobs[job.job] = open_job
-            self._give_up(open_job, now_s, effects)
+            self._jobs.add(open_job)
+            self.crashing_jobs.give_up(open_job, now_s, effects)
             return
         open_job.open_steps()
         plan = self._planner.plan(open_job, now_s)
@@ -155,7 +151,7 @@
             effects.append(refusal_record(job, refusal))
             effects.append(Respond(event.request_id, refusal))
             return
-        self._jobs[job.job] = open_job
+        self._jobs.add(open_job)
         effects.extend(offer_planned(open_job, plan, now_s))
 
     def on_cancel_requested(
@@ -164,10 +160,10 @@
         effects: list[Effect],
     ) -> None:
         """Cancels a job on request of a caller."""
-        open_job = self._jobs.get(event.job)
+        open_job = self._jobs.find(event.job)
         if open_job is not None:
             end = BestEffortEnded(JobEnd.CANCELLED, 'cancelled by a caller')
-            self._end_job(open_job, end, event.now_s, effects)
+            self._jobs.end(open_job, end, event.now_s, effects)
         answer = CancelAnswered(open_job is not None)
         effects.append(Respond(event.request_id, answer))
 
@@ -178,13 +174,13 @@
         effects: list[Effect],
     ) -> None:
         """Ends a job when the last of its callers has disconnected."""
-        for open_job in list(self._jobs.values()):
+        for open_job in self._jobs:
             if request_id not in open_job.request_ids:
                 continue
             open_job.request_ids.remove(request_id)
             if not open_job.request_ids:
                 end = BestEffortEnded(JobEnd.ABANDONED, 'caller hung up')
-                self._end_job(open_job, end, now_s, effects)
+                self._jobs.end(open_job, end, now_s, effects)
             return
 
     # Messages and links of agents.
@@ -252,41 +248,6 @@
         for run_result in message.results:
             self._handle_result(view, run_result, now_s, effects)
 
-    def on_upstream_crashed(
-        self,
-        report: UpstreamCrashed,
-        now_s: float,
-        effects: list[Effect],
-    ) -> None:
-        """Gives up the jobs under which too many upstreams crashed."""
-        self._containment.upstream_crashed(report, now_s)
-        for job in sorted({suspect.task.job for suspect in report.suspects}):
-            open_job = self._jobs.get(job)
-            if open_job is not None and self._containment.is_crashing(job):
-                self._give_up(open_job, now_s, effects)
-
-    def on_crashing_job_found(
-        self,
-        message: CrashingJobFound,
-        now_s: float,
-        effects: list[Effect],
-    ) -> bool:
-        """Records a crashing job that another entry found, and ends it here.
-
-        Returns:
-            Whether it was not known.
-        """
-        if self._recent.find(message.job) is JobEnd.FAILED:
-            return False
-        self._containment.crashing_job_found(message, now_s)
-        open_job = self._jobs.get(message.job)
-        if open_job is None:
-            self._recent.add(message.job, JobEnd.FAILED, now_s)
-        else:
-            end = BestEffortEnded(JobEnd.FAILED, _CRASHING_CAUSE)
-            self._end_job(open_job, end, now_s, effects)
-        return True
-
     def tick(self, now_s: float, effects: list[Effect]) -> None:
         """Removes lost agents, ends expired jobs and retries placement."""
         self._admission.tick(now_s)
@@ -294,13 +255,13 @@
             absent_s = 0.0 if view.connected else now_s - view.lost_s
             if absent_s >= self._settings.agent_removal_s:
                 self._remove_agent(view, now_s, effects)
-        for open_job in list(self._jobs.values()):
+        for open_job in self._jobs:
             if now_s >= open_job.caller_deadline_s:
                 end = BestEffortEnded(JobEnd.ABANDONED, 'deadline passed')
-                self._end_job(open_job, end, now_s, effects)
+                self._jobs.end(open_job, end, now_s, effects)
             elif any(open_job.unplaced()):
                 self._retry_placement(open_job, now_s, effects)
-        self._recent.evict_expired(now_s)
+        self._jobs.tick(now_s)
         self._containment.tick(now_s)
 
     # Placement, results and ends of jobs.
@@ -326,7 +287,7 @@
             refusal = self._find_refusal(open_job, plan, now_s)
             if refusal is not None:
                 effects.append(refusal_record(open_job.job, refusal))
-                self._end_job(open_job, refusal, now_s, effects)
+                self._jobs.end(open_job, refusal, now_s, effects)
                 return
         effects.extend(offer_planned(open_job, plan, now_s))
 
@@ -355,27 +316,6 @@
         plan = self._planner.plan(open_job, now_s)
         effects.extend(offer_planned(open_job, plan, now_s))
 
-    def _give_up(
-        self,
-        open_job: OpenJob,
-        now_s: float,
-        effects: list[Effect],
-    ) -> None:
-        """Fails a job that crashes its upstreams and notifies all entries."""
-        job = open_job.job
-        found = self._containment.job_given_up(job.job, job.queue, now_s)
-        effects.append(
-            Record(
-                'crashing job',
-                subject=job.job,
-                detail=f'{job.queue}: {len(found.crashes)} crashes',
-                logged=True,
-            ),
-        )
-        effects.extend(Send(name, found) for name in self._find_entries())
-        end = BestEffortEnded(JobEnd.FAILED, _CRASHING_CAUSE)
-        self._end_job(open_job, end, now_s, effects)
-
     def _handle_result(
         self,
         view: AgentView,
@@ -383,7 +323,7 @@
         now_s: float,
         effects: list[Effect],
     ) -> None:
-        open_job, task = self._find(view, run_result.task)
+        open_job, task = self._jobs.find_task(view, run_result.task)
         if open_job is None or task is None or task.run != run_result.run:
             return
         view.tasks.discard(task.ref)
@@ -416,7 +356,7 @@
             task.failures += 1
         if task.failures >= open_job.job.max_starts:
             end = BestEffortEnded(JobEnd.FAILED, 'a task failed too often')
-            self._end_job(open_job, end, now_s, effects)
+            self._jobs.end(open_job, end, now_s, effects)
         else:
             self._place(open_job, now_s, effects)
 
@@ -437,12 +377,8 @@
         open_job.finish(task)
         if open_job.done:
             effects.append(Measure('job_s', now_s - open_job.arrived_s))
-            self._end_job(
-                open_job,
-                BestEffortEnded(JobEnd.COMPLETED),
-                now_s,
-                effects,
-            )
+            end = BestEffortEnded(JobEnd.COMPLETED)
+            self._jobs.end(open_job, end, now_s, effects)
         elif open_job.open_steps():
             self._place(open_job, now_s, effects)
 
@@ -455,42 +391,9 @@
         now_s: float,
         effects: list[Effect],
     ) -> None:
-        open_job, task = self._find(view, ref)
+        open_job, task = self._jobs.find_task(view, ref)
         view.tasks.discard(ref)
         if open_job is None or task is None:
             return
         run_result = RunResult(ref, task.run, end, 0.0, cause)
         self._handle_result(view, run_result, now_s, effects)
-
-    def _find(
-        self,
-        view: AgentView,
-        ref: TaskRef,
-    ) -> tuple[OpenJob | None, OpenTask | None]:
-        open_job = self._jobs.get(ref.job)
-        task = None if open_job is None else open_job.tasks.get(ref)
-        if task is not None and task.agent != view.name:
-            task = None
-        return open_job, task
-
-    def _end_job(
-        self,
-        open_job: OpenJob,
-        end: BestEffortEnded,
-        now_s: float,
-        effects: list[Effect],
-    ) -> None:
-        """Answers the callers and cancels the remaining tasks of the job."""
-        job = open_job.job.job
-        self._jobs.pop(job)
-        for agent in open_job.agents():
-            effects.append(Send(agent, CancelBestEffortJob(job)))
-        for task in open_job.tasks.values():
-            if task.agent in self._views:
-                self._views[task.agent].tasks.discard(task.ref)
-        effects.append(Count('jobs', end.end.value))
-        effects.extend(
-            Respond(request_id, end) for request_id in open_job.request_ids
-        )
-        if end.end is not JobEnd.ABANDONED:
-            self._recent.add(job, end.end, now_s)
--- a/packages/core/cactushead_core/dispatch/tests/test_job_found_elsewhere.py
+++ b/packages/core/cactushead_core/dispatch/tests/test_job_found_elsewhere.py
@@ -24,9 +24,9 @@
     dispatcher.on_submitted(BestEffortSubmitted(1.0, 7, JOB), effects)
     assert effects == []
     found = CrashingJobFound('1', 'q', ('u1', 'u2'))
-    assert dispatcher.on_crashing_job_found(found, 1.1, effects)
+    assert dispatcher.crashing_jobs.found_elsewhere(found, 1.1, effects)
     responses = [one for one in effects if isinstance(one, Respond)]
     assert [one.request_id for one in responses] == [7]
     assert responses[0].response.end is JobEnd.FAILED
     assert dispatcher.state('1') is JobEnd.FAILED
-    assert not dispatcher.on_crashing_job_found(found, 1.2, effects)
+    assert not dispatcher.crashing_jobs.found_elsewhere(found, 1.2, effects)
--- a/packages/core/cactushead_core/fleet/entry.py
+++ b/packages/core/cactushead_core/fleet/entry.py
@@ -180,7 +180,9 @@
                     sender, message, now_s, effects
                 )
             case UpstreamCrashed():
-                self.dispatcher.on_upstream_crashed(message, now_s, effects)
+                self.dispatcher.crashing_jobs.upstream_crashed(
+                    message, now_s, effects
+                )
             case CrashingJobFound():
                 self._on_crashing_job_found(sender, message, now_s, effects)
             case Ping():
@@ -207,7 +209,9 @@
         effects: list[Effect],
     ) -> None:
         """Records a crashing job; a voter, which has all links, relays it."""
-        new = self.dispatcher.on_crashing_job_found(message, now_s, effects)
+        new = self.dispatcher.crashing_jobs.found_elsewhere(
+            message, now_s, effects
+        )
         if new and self.settings.own.name in self.discovery.voters:
             effects.extend(
                 Send(name, message)
