Split renewals from the lease manager

The renewal of leases, with its interval, its answers and its retries, is a class of its own; the manager keeps the queue, the starts and the messages of entries. The code moved as it was. A comment said that a missing task is taken as lost, which isn't so for a later report.

--- a/packages/core/cactushead_core/leasing/lease_manager.py
+++ b/packages/core/cactushead_core/leasing/lease_manager.py
@@ -18,6 +18,7 @@
 from .outbox import Outbox
 from .owners import Owners
 from .reconciler import RunReconciler
+from .renewals import Renewals
 from .runs import LeasedRun, Phase, RunTable, run_record
 from .sessions import Sessions
 from .settings import LeasingSettings
@@ -43,20 +44,19 @@
             settings: Settings.
         """
         self.runs = RunTable()
-        self._settings = settings
         self._calls = UpstreamCalls(settings)
         max_duration_s = self._calls.clock.max_duration_s(settings.lease_s)
         self._tracker = UpstreamTracker(max_duration_s)
         self._stop_calls = StopCalls(self._calls, settings.retry_s)
         self._sessions = Sessions(self.runs, settings.load_interval_s)
         self._outbox = Outbox(self.runs)
-        self._crash_reporter = CrashReporter(self._outbox, self._sessions)
+        crash_reporter = CrashReporter(self._outbox, self._sessions)
         self._reconciler = RunReconciler(
             self.runs,
             self._calls,
             self._stop_calls,
             self._outbox,
-            self._crash_reporter,
+            crash_reporter,
         )
         self._incarnations = Incarnations(
             self.runs,
@@ -64,7 +64,16 @@
             self._calls,
             self._reconciler,
             self._outbox,
-            self._crash_reporter,
+            crash_reporter,
+        )
+        self._renewals = Renewals(
+            settings,
+            self.runs,
+            self._tracker,
+            self._calls,
+            self._reconciler,
+            self._incarnations,
+            crash_reporter,
         )
         self._owners = Owners(
             self.runs,
@@ -86,11 +95,7 @@
     @property
     def quiet(self) -> bool:
         """Whether nothing runs, waits or has to be found out."""
-        return (
-            not len(self.runs)
-            and self._tracker.reconciled
-            and not self._calls.has_unknown_runs
-        )
+        return self._renewals.quiet
 
     @property
     def ready(self) -> bool:
@@ -237,10 +242,7 @@
             return
         effects.append(run_record('start unanswered', run, event.cause))
         run.unanswered_s = event.now_s
-        self._calls.next_renewal_s = min(
-            self._calls.next_renewal_s, event.now_s
-        )
-        self._renew(event.now_s, effects)
+        self._renewals.renew_now(event.now_s, effects)
 
     def stop_completed(
         self,
@@ -259,31 +261,7 @@
         self, event: LeasesRenewed, effects: list[Effect]
     ) -> None:
         """Reconciles the agent's runs with the upstream's lists."""
-        self._calls.renewal_pending = False
-        if not self._tracker.matches(event.upstream):
-            return
-        if self._incarnations.adopt(event.upstream, effects):
-            self._incarnations.report_change(event.now_s)
-        if self._reconciler.crashed is None:
-            self._crash_reporter.answered()
-        self._calls.clock.observe(event.clock_ms, event.now_s)
-        acknowledged = self._calls.acknowledged
-        self._reconciler.reconcile(event, self.upstream, effects)
-        if acknowledged == self._calls.acknowledged:
-            # Nothing new ended: keeps a minimum interval between renewals in
-            # case the upstream answers without waiting.
-            interval_s = (
-                self._settings.idle_list_interval_s
-                if self.quiet
-                else self._settings.min_renewal_interval_s
-            )
-            self._calls.next_renewal_s = max(
-                event.sent_s + interval_s, event.now_s
-            )
-        if not self._tracker.reconciled and not self._calls.has_unknown_runs:
-            self._tracker.reconciled = True
-            self._incarnations.report_due = True
-        self._renew(event.now_s, effects)
+        self._renewals.answered(event, effects)
 
     def renewal_failed(
         self,
@@ -291,38 +269,13 @@
         effects: list[Effect],
     ) -> None:
         """Schedules a retry; ends the runs if their leases have expired."""
-        self._calls.renewal_pending = False
-        if not self._tracker.matches(event.upstream):
-            return
-        effects.append(
-            Record(
-                'renewal failed',
-                subject=event.upstream.upstream,
-                detail=event.cause,
-                logged=True,
-            ),
-        )
-        if event.fenced:
-            self._calls.raise_token(effects)
-        # The first retry is immediate, since the connection may have been
-        # closed by a crash.
-        first = self._crash_reporter.renewal_failed(event.now_s)
-        pause_s = 0.0 if first else self._settings.retry_s
-        self._calls.next_renewal_s = event.now_s + pause_s
-        if event.refused:
-            self._incarnations.end(event.cause, event.now_s, effects)
-        elif event.now_s > self._calls.latest_lease_end_s:
-            self._crash_reporter.leases_lapsed(self.runs.at_upstream())
-            self._incarnations.finish_all(
-                RunEnd.LEASE_EXPIRED, 'lease lapsed', event.now_s
-            )
-        self._renew(event.now_s, effects)
+        self._renewals.failed(event, effects)
 
     # Timers.
 
     def tick(self, now_s: float, effects: list[Effect]) -> None:
         """Renews leases, repeats stop calls and expires lost owners."""
-        self._renew(now_s, effects)
+        self._renewals.renew_if_due(now_s, effects)
         self._stop_calls.stop_unconfirmed(self.runs, now_s)
         self._stop_calls.call_all_due(self.runs, self.upstream, now_s, effects)
         self._owners.tick(now_s, effects)
@@ -330,10 +283,9 @@
     def end_turn(self, now_s: float, effects: list[Effect]) -> None:
         """Starts queued runs that fit and sends results and reports."""
         if self._start_queued(now_s, effects):
-            self._calls.next_renewal_s = min(self._calls.next_renewal_s, now_s)
-            self._renew(now_s, effects)
-        # Results are sent before reports: an entry treats a run that is
-        # missing from a report as lost.
+            self._renewals.renew_now(now_s, effects)
+        # Results are sent before reports: an entry expects no result of a task
+        # that is missing from a report.
         self._outbox.send(effects)
         if not self._tracker.knows_all_runs(now_s):
             return
@@ -400,22 +352,6 @@
                 self._outbox.finish(run, RunEnd.NO_CAPACITY, now_s, 'no room')
         return was_idle and not self.idle
 
-    def _renew(self, now_s: float, effects: list[Effect]) -> None:
-        calls = self._calls
-        upstream = self.upstream
-        if upstream is None or calls.renewal_pending:
-            return
-        if now_s >= calls.next_renewal_s:
-            waits = self._tracker.reconciled and not self.quiet
-            wait_s = self._settings.renew_wait_s if waits else 0.0
-            renewal = calls.renew(
-                upstream,
-                now_s,
-                idle=self.idle,
-                wait_s=wait_s,
-            )
-            effects.append(renewal)
-
 
 def _make_run(
     sender: Peer,
