Split redirects and the voting replica from the entry's reducer

Redirects of misdirected messages and the construction of the replica are modules of their own, and messages to the entry itself use the loopback that the fleet's entry has, in place of a second one.

--- a/packages/core/cactushead_core/entry/node.py
+++ b/packages/core/cactushead_core/entry/node.py
@@ -1,8 +1,6 @@
 """Reducer of the entry process."""
 
-from collections import deque
-
-from ..agents.messages import Heartbeat, LeaderHint
+from ..agents.messages import LeaderHint
 from ..config import EntryConfig
 from ..documents.applied_versions import AppliedVersions
 from ..documents.messages import (
@@ -10,8 +8,6 @@
     DocumentRefused,
     DocumentsListed,
     DocumentUpdate,
-    QueryDocuments,
-    SubmitDocument,
 )
 from ..effects import Drained, Effect, EventKind, Record, Send
 from ..events import (
@@ -28,15 +24,13 @@
     TurnEnded,
 )
 from ..jobs.messages import (
-    CancelJob,
     JobAccepted,
     JobAnswered,
     JobRefused,
     JobReported,
-    QueryJob,
-    SubmitJob,
     TermMismatch,
 )
+from ..loopback import extract_self_sends
 from ..messages.base import Message
 from ..messages.codec import decode_message
 from ..reducer import Node
@@ -47,9 +41,7 @@
     LeaderReady,
     MemoryCommitted,
     Notice,
-    Replica,
     ReplicaOutput,
-    ReplicaSettings,
     SnapshotInstalled,
     SnapshotNeeded,
     StoredLog,
@@ -58,6 +50,8 @@
 from .gateway import Gateway
 from .leader import Leader
 from .policy import make_scheduler
+from .redirects import is_misdirected, redirect
+from .voting import make_replica
 
 _ANSWERS = (
     JobAccepted,
@@ -68,7 +62,6 @@
     DocumentRefused,
     DocumentsListed,
 )
-_REQUESTS = (SubmitJob, QueryJob, CancelJob, SubmitDocument, QueryDocuments)
 
 
 class EntryNode(Node):
@@ -101,10 +94,9 @@
         self.applied_versions = AppliedVersions(config.name, config.incarnation)
         self._own_peer = Peer(config.name, PeerRole.ENTRY, config.incarnation)
         self._peers: dict[str, Peer] = {}
-        self._loopback: deque[Message] = deque()
         self._memory_index = 0
         self._drained = False
-        self._replica = _make_replica(config, stored, now_s)
+        self._replica = make_replica(config, stored, now_s)
         self._notice_handlers = {
             LeaderKnown: self._on_leader_known,
             LeaderReady: self._on_leader_ready,
@@ -171,28 +163,11 @@
             effects.extend(self.leader.drain_effects())
 
     def _drain_loopback(self, now_s: float, effects: list[Effect]) -> None:
-        position = 0
         self._collect_leader_effects(effects)
-        while position < len(effects):
-            position = self._divert_to_loopback(effects, position)
-            while self._loopback:
-                message = self._loopback.popleft()
-                event = MessageReceived(now_s, self._own_peer, message)
-                self._on_message(event, effects)
-                self._collect_leader_effects(effects)
-
-    def _divert_to_loopback(self, effects: list[Effect], position: int) -> int:
-        # Moves messages of the entry to itself from the effects to the
-        # loopback queue.
-        name = self.config.name
-        new_effects = effects[position:]
-        del effects[position:]
-        for effect in new_effects:
-            if isinstance(effect, Send) and effect.peer == name:
-                self._loopback.append(effect.message)
-            else:
-                effects.append(effect)
-        return len(effects)
+        for message in extract_self_sends(effects, self.config.name):
+            event = MessageReceived(now_s, self._own_peer, message)
+            self._on_message(event, effects)
+            self._collect_leader_effects(effects)
 
     # Notices of the replicated log.
 
@@ -385,7 +360,8 @@
             case LeaderHint():
                 self._on_leader_hint(message, now_s, effects)
             case DocumentUpdate():
-                self._on_document_update(message, event.sender, effects)
+                reply = self.applied_versions.apply_update(message)
+                effects.append(Send(event.sender.name, reply))
             case _ if isinstance(message, _ANSWERS):
                 self.gateway.on_answer(message, now_s, effects)
             case _:
@@ -398,29 +374,13 @@
         now_s: float,
         effects: list[Effect],
     ) -> None:
-        if self._is_misdirected(message):
-            self._redirect(message, sender, effects)
+        if is_misdirected(message, self.leader):
+            gateway = self.gateway
+            reply = redirect(message, gateway.term, gateway.leader)
+            effects.append(Send(sender.name, reply))
         elif self.leader is not None:
             self.leader.handle(sender, message, now_s)
 
-    def _is_misdirected(self, message: Message) -> bool:
-        if isinstance(message, _REQUESTS):
-            return self.leader is None or self.leader.term != message.term
-        return isinstance(message, Heartbeat) and self.leader is None
-
-    def _redirect(
-        self,
-        message: Message,
-        sender: Peer,
-        effects: list[Effect],
-    ) -> None:
-        term = self.gateway.term
-        leader = self.gateway.leader
-        reply: Message = LeaderHint(term, leader)
-        if isinstance(message, _REQUESTS):
-            reply = TermMismatch(message.attempt, term, leader)
-        effects.append(Send(sender.name, reply))
-
     def _on_leader_hint(
         self,
         message: LeaderHint,
@@ -434,32 +394,3 @@
                 now_s,
                 effects,
             )
-
-    def _on_document_update(
-        self,
-        message: DocumentUpdate,
-        sender: Peer,
-        effects: list[Effect],
-    ) -> None:
-        effects.append(
-            Send(sender.name, self.applied_versions.apply_update(message))
-        )
-
-
-def _make_replica(
-    config: EntryConfig,
-    stored: StoredLog,
-    now_s: float,
-) -> Replica | None:
-    if not config.disk_incarnation:
-        return None
-    settings = ReplicaSettings(
-        config.name,
-        config.disk_incarnation,
-        config.voters,
-        heartbeat_s=config.timing.append_s,
-        election_timeout_s=config.timing.election_s,
-        drift=config.timing.drift,
-        seed=config.seed,
-    )
-    return Replica(settings, stored, now_s)
