--- a/scripts/leader_cell.py
+++ b/scripts/leader_cell.py
@@ -13,8 +13,7 @@
 import gc
 import random
 import time
-from collections import Counter, defaultdict
-from dataclasses import dataclass, field
+from collections import defaultdict
 from itertools import chain
 
 from cactushead_core import effects as fx
@@ -32,8 +31,8 @@
 from cactushead_core.events import Peer, PeerRole
 from cactushead_core.jobs import JobId, JobRequest, TaskSpec
 from cactushead_core.messages import Message, decode_frame, encode_frame
-from cactushead_core.reducer import Node
 from cactushead_core.replication import StoredLog
+from leader_costs import LeaderCosts, SimulatedProcess, TurnResult, Workload
 
 SERVICE = 'sample'
 KIND = 'echo'
@@ -50,89 +49,10 @@
 INPUT_JSON = b'{"row": 17, "crate": 4, "sled": "b2", "weight_kg": 11.4}'
 
 
-@dataclass(slots=True)
-class SimulatedProcess:
-    """One process: its reducer and its input queues.
-
-    Attributes:
-        peer: Identity of the process for other processes.
-        node: Its reducer.
-        frames: Received frames that are not yet processed, with senders.
-        events: Other events that are not yet processed.
-        tick_due_s: Virtual time when its timer fires next.
-    """
-
-    peer: Peer
-    node: Node
-    frames: list[tuple[Peer, bytes]] = field(default_factory=list)
-    events: list[ev.Event] = field(default_factory=list)
-    tick_due_s: float = 0.0
-
-    @property
-    def name(self) -> str:
-        """Name of the process."""
-        return self.peer.name
-
-
 _PendingOutcome = tuple[SimulatedProcess, TaskOutcome]
 _SentFrame = tuple[SimulatedProcess, str, bytes]
 
 
-@dataclass(frozen=True, slots=True)
-class TurnResult:
-    """Result of one loop turn of a process.
-
-    Attributes:
-        messages: Number of received messages.
-        effects: Effects of its reducer.
-        frames: Frames to send, with their receivers.
-    """
-
-    messages: int
-    effects: list[fx.Effect]
-    frames: list[tuple[str, bytes]]
-
-
-@dataclass(slots=True)
-class LeaderCosts:
-    """CPU time and traffic of the leader.
-
-    Attributes:
-        cpu_ns: CPU time.
-        gc_ns: Part of the CPU time spent in garbage collection.
-        slowest_turn_ns: CPU time of the slowest turn.
-        turns: Number of loop turns.
-        counts: Frames, messages, bytes and effects, by name.
-    """
-
-    cpu_ns: int = 0
-    gc_ns: int = 0
-    slowest_turn_ns: int = 0
-    turns: int = 0
-    counts: Counter[str] = field(default_factory=Counter)
-
-
-@dataclass(frozen=True, slots=True)
-class Workload:
-    """Parameters of a workload.
-
-    Attributes:
-        agents: Number of agents, of 8 slots each.
-        job_tasks: Tasks in a job.
-        tasks: Tasks to measure.
-        turn_s: Virtual time of a loop turn.
-        turn_tasks: Maximum number of tasks submitted within a turn.
-        repeatable: Whether the requests are repeatable.
-    """
-
-    agents: int
-    job_tasks: int
-    tasks: int
-    turn_s: float
-    turn_tasks: int
-    repeatable: bool
-
-
 class Cell:
     """Simulates three entries and their agents, turn by turn."""
 
--- a/scripts/measure_leader.py
+++ b/scripts/measure_leader.py
@@ -11,7 +11,8 @@
 
 import fire
 from cactushead_node.runtime import VOTER_GC_THRESHOLDS
-from leader_cell import NS_PER_S, Cell, LeaderCosts, Workload
+from leader_cell import NS_PER_S, Cell
+from leader_costs import LeaderCosts, Workload
 
 US_PER_S = 1_000_000
 NS_PER_MS = 1_000_000
--- a/scripts/measure_spread.py
+++ b/scripts/measure_spread.py
@@ -12,7 +12,8 @@
 import gc
 
 import fire
-from leader_cell import NS_PER_S, SERVICE, Cell, LeaderCosts, Workload
+from leader_cell import NS_PER_S, SERVICE, Cell
+from leader_costs import LeaderCosts, Workload
 
 US_PER_NS = 1e-3
 IDLE_S = 10.0
