--- a/packages/core/cactushead_core/dispatch/tests/traffic.py
+++ b/packages/core/cactushead_core/dispatch/tests/traffic.py
@@ -55,14 +55,12 @@
         number: Number of the request.
         at_s: Time of submission.
         run_s: Actual run time of each task.
-        job: Id of the job.
     """
 
     kind: Kind
     number: int
     at_s: float
     run_s: float
-    job: str
 
 
 def send_traffic(world, duration_s, load, seed=1, crashing=None):
@@ -109,7 +107,7 @@
         if crash_rng.random() < (crashing or {}).get(kind.queue, 0):
             world.history.crashing_jobs.add(job.job)
         number = world.send(rng.choice(entries), job)
-        sent_jobs.append(SentJob(kind, number, world.now_s, run_s, job.job))
+        sent_jobs.append(SentJob(kind, number, world.now_s, run_s))
         world.run(rng.expovariate(jobs_per_s))
     return sent_jobs
 
