Name the waiting jobs and the capacities in the tests

A test computed the ids of its jobs from the order of submissions, and one changed its own parameter in a loop.

--- a/packages/core/cactushead_core/dispatch/tests/test_upstreams_lost_with_full_queues.py
+++ b/packages/core/cactushead_core/dispatch/tests/test_upstreams_lost_with_full_queues.py
@@ -7,6 +7,7 @@
 AGENT_COUNT = 2
 # Two jobs of this size fill an upstream.
 TASK_COUNT = 4
+WAITING_JOBS = ('w' * 16, 'x' * 16, 'y' * 16)
 
 
 def full_world():
@@ -17,7 +18,10 @@
         world.submit('e0', count=TASK_COUNT) for _ in range(2 * AGENT_COUNT)
     ]
     world.run(0.5)
-    waiting = [world.submit(f'e{k}', count=TASK_COUNT) for k in range(3)]
+    waiting = [
+        world.submit(f'e{number}', count=TASK_COUNT, job=job)
+        for number, job in enumerate(WAITING_JOBS)
+    ]
     world.run(0.1)
     return world, running, waiting
 
@@ -36,9 +40,9 @@
     assert job_ends(world, waiting) == [JobEnd.REFUSED] * len(waiting)
     for number in range(AGENT_COUNT):
         world.processes[f'a{number}'].upstream.restart()
-    refused = {f'{4 + k + 1:016x}' for k in range(len(waiting))}
     world.run(10)
-    assert not refused & {task.job for _, task, _ in world.history.starts}
+    started = {task.job for _, task, _ in world.history.starts}
+    assert not started.intersection(WAITING_JOBS)
     assert_invariants(world)
 
 
--- a/packages/core/cactushead_core/fleet/tests/test_capacity_changes.py
+++ b/packages/core/cactushead_core/fleet/tests/test_capacity_changes.py
@@ -23,11 +23,12 @@
 @pytest.mark.parametrize('seed', range(3))
 def test_starts_fit_a_capacity_that_shrinks_and_grows(seed):
     world = warmed_up_world(agents=4, capacity=FULL)
-    for capacity in (SHRUNK, FULL, Resources(cpu_m=500, memory_mb=1000), FULL):
+    capacities = (SHRUNK, FULL, Resources(cpu_m=500, memory_mb=1000), FULL)
+    for number, capacity in enumerate(capacities):
         set_capacity(world, capacity, agents=('a0', 'a1'))
-        send_traffic(world, 2.0, load=0.8, seed=seed)
+        # Each call needs a seed of its own, from which job ids are made.
+        send_traffic(world, 2.0, load=0.8, seed=seed + 10 * number)
         assert world.history.capacity_violations == []
-        seed += 10
 
 
 # Guards against tasks that wait at an upstream that has become too small for
@@ -40,10 +41,9 @@
     world.run(0.1)
     number = world.submit('e1', cpu_m=6000)
     world.run(0.1)
-    agents = [f'a{number}' for number in range(2)]
     holders = [
         name
-        for name in agents
+        for name in ('a0', 'a1')
         if world.processes[name].node.manager.runs.queued_cpu_m
     ]
     assert len(holders) == 1
