Acknowledge run ends only in the renewal after their listing

An upstream that restarts under its id numbers its ends anew. Every renewal repeated the acknowledgement of the former incarnation's ends, so the first renewal that reached the new one discarded ends that no list had shown; the agent counted their runs as lost and started done tasks again.

A renewal now acknowledges what the answer before it listed, once. An end whose acknowledgement is lost is listed and acknowledged again. A restart within the milliseconds between an answer and the next renewal can still hide an end.

--- a/packages/core/cactushead_core/leasing/calls.py
+++ b/packages/core/cactushead_core/leasing/calls.py
@@ -22,6 +22,8 @@
     Attributes:
         clock: Estimate of the upstream's clock.
         acknowledged: Number of the newest run end that was processed.
+        listed: Number of the newest run end in the last answer; 0 once a
+            renewal has acknowledged it.
         renewal_pending: Whether a renewal awaits its answer.
         next_renewal_s: Earliest time of the next renewal.
         latest_lease_end_s: Time by which every lease requested so far has
@@ -36,6 +38,7 @@
         """
         self.clock = UpstreamClock(settings.drift)
         self.acknowledged = 0
+        self.listed = 0
         self.renewal_pending = False
         self.next_renewal_s = 0.0
         self.latest_lease_end_s = 0.0
@@ -51,6 +54,7 @@
     def reset(self) -> None:
         """Clears the state that belongs to the previous incarnation."""
         self.acknowledged = 0
+        self.listed = 0
         self.clock.reset()
         self._stop_requested_s = {}
 
@@ -107,6 +111,12 @@
     ) -> RenewLeases:
         """Returns the call that renews all leases and lists the runs.
 
+        Explanation:
+            Only the renewal after an answer acknowledges the ends that the
+            answer listed. A later one could reach a new incarnation, which
+            numbers its ends anew and would discard the first of them. An end
+            whose acknowledgement is lost is listed again.
+
         Args:
             upstream: The upstream.
             now_s: The agent's clock.
@@ -117,11 +127,13 @@
         lease_end_ms = UNKNOWN_MS
         if self.clock.known and not idle:
             lease_end_ms = self._lease_end_ms(now_s)
+        acknowledged = self.listed
+        self.listed = 0
         return RenewLeases(
             upstream.identity,
             upstream.address,
             lease_end_ms,
-            self.acknowledged,
+            acknowledged,
             wait_s,
             self._token,
         )
--- a/packages/core/cactushead_core/leasing/effects.py
+++ b/packages/core/cactushead_core/leasing/effects.py
@@ -63,8 +63,8 @@
         address: Address at which the upstream accepts calls.
         lease_end_ms: New end of the leases on the upstream's clock; -1 to
             only list.
-        acknowledged: Number of the newest run end that was processed; the
-            upstream discards it and earlier ones.
+        acknowledged: Number of a run end that was processed; the upstream
+            discards it and earlier ones. 0 to discard none.
         wait_s: How long the upstream may delay its answer until a run ends.
         token: Fencing token.
     """
--- a/packages/core/cactushead_core/leasing/reconciler.py
+++ b/packages/core/cactushead_core/leasing/reconciler.py
@@ -63,6 +63,8 @@
             upstream: The upstream.
             effects: List to which effects are appended.
         """
+        numbers = [ended.number for ended in event.ended]
+        self._calls.listed = max(numbers, default=0)
         for row in event.ended:
             self._process_end(row, event, effects)
         if self.crashed is not None:
--- a/packages/core/cactushead_core/leasing/renewals.py
+++ b/packages/core/cactushead_core/leasing/renewals.py
@@ -70,7 +70,7 @@
             # case the upstream answers without waiting.
             interval_s = (
                 self._settings.idle_list_interval_s
-                if self.quiet
+                if self.quiet and not self._calls.listed
                 else self._settings.min_renewal_interval_s
             )
             self._calls.next_renewal_s = max(
