Let a third crash decide between two jobs that look alike

A job whose task started within 30 ms of a crashing one at two of three upstreams was given up with it, since both looked alike in both crashes.

A task counts as the cause if more of its crashes look alike than those of any other job in the same crashes. While two jobs look alike, the suspects wait for upstreams without each other; the third crash, which the rule allows, decides.

--- a/packages/core/cactushead_core/dispatch/containment.py
+++ b/packages/core/cactushead_core/dispatch/containment.py
@@ -37,7 +37,8 @@
         Explanation:
             Tasks that start together look alike if one of them crashes their
             upstream. In a confined queue, where a second crash is likely, a
-            suspect waits for an upstream without another one.
+            suspect waits for an upstream without another one. So does one of
+            two jobs that may both have caused the same crashes.
 
         Args:
             job: Id of the task's job.
@@ -54,7 +55,9 @@
                 for ref in view.tasks
             )
         ]
-        waits = self._confinement.is_confined(queue)
+        waits = self._confinement.is_confined(
+            queue
+        ) or self._history.is_ambiguous(job)
         return separate if separate or waits else agents
 
     def is_crashing(self, job: str) -> bool:
--- a/packages/core/cactushead_core/dispatch/crashes.py
+++ b/packages/core/cactushead_core/dispatch/crashes.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections import deque
-from collections.abc import Collection
+from collections.abc import Iterable
 
 from ..tasks import CrashingJobFound, CrashSuspect, TaskRef, UpstreamCrashed
 
@@ -13,7 +13,8 @@
 # come after the crash.
 MAX_CRASHES_UNCONFIRMED = 5
 # Two crashes look alike if the task had run for about the same time: their
-# cause repeats itself, while a task beside it has run for any time.
+# cause repeats itself, while a task beside it has run for any time. If tasks of
+# two jobs look alike in the same two crashes, a third crash decides.
 AGE_TOLERANCE_S = 0.03
 AGE_TOLERANCE = 0.05
 
@@ -57,7 +58,18 @@
             job: Id of the job.
         """
         tasks = self._suspects.get(job, {})
-        return any(_is_cause(suspects.values()) for suspects in tasks.values())
+        return any(self._is_cause(job, suspects) for suspects in tasks.values())
+
+    def is_ambiguous(self, job: str) -> bool:
+        """Whether a job and another one may both have caused the same crashes.
+
+        Args:
+            job: Id of the job.
+        """
+        return any(
+            1 < _alike_count(suspects.values()) <= self._rival(job, suspects)
+            for suspects in self._suspects.get(job, {}).values()
+        )
 
     def is_suspect(self, job: str) -> bool:
         """Whether upstreams crashed under a job and the cause is unknown.
@@ -93,7 +105,7 @@
         crashes = {
             crash
             for suspects in self._suspects.get(job, {}).values()
-            if _is_cause(suspects.values())
+            if self._is_cause(job, suspects)
             for crash in suspects
         }
         message = CrashingJobFound(job, queue, tuple(sorted(crashes)))
@@ -125,6 +137,31 @@
             if now_s - explained_s > self._retention_s:
                 self._explained_s.pop(crash)
 
+    def _is_cause(self, job: str, suspects: _Suspects) -> bool:
+        """Whether the crashes under a task's runs are due to the task."""
+        if len(suspects) >= MAX_CRASHES_UNCONFIRMED:
+            return True
+        alike = _alike_count(suspects.values())
+        rival = self._rival(job, suspects)
+        started = sum(one.started for one in suspects.values())
+        return alike > max(rival, 1) or (
+            started >= MAX_CRASHES and alike >= rival
+        )
+
+    def _rival(self, job: str, suspects: _Suspects) -> int:
+        """Returns how many of the same crashes look alike under another job."""
+        return max(
+            (
+                _alike_count(
+                    one for crash, one in tried.items() if crash in suspects
+                )
+                for other, tasks in self._suspects.items()
+                if other != job
+                for tried in tasks.values()
+            ),
+            default=0,
+        )
+
     def _clear(self, report: UpstreamCrashed) -> None:
         for suspect in report.suspects:
             task = suspect.task
@@ -137,12 +174,13 @@
                 self._suspects.pop(task.job, None)
 
 
-def _is_cause(suspects: Collection[CrashSuspect]) -> bool:
-    """Whether the crashes under a task's runs are due to the task."""
-    if len(suspects) >= MAX_CRASHES_UNCONFIRMED:
-        return True
-    ordered_s = sorted(one.age_s for one in suspects if one.started)
-    return len(ordered_s) >= MAX_CRASHES or any(
-        longer_s - shorter_s <= AGE_TOLERANCE_S + AGE_TOLERANCE * longer_s
-        for shorter_s, longer_s in itertools.pairwise(ordered_s)
-    )
+def _alike_count(suspects: Iterable[CrashSuspect]) -> int:
+    """Returns the largest number of crashes that look alike."""
+    ages_s = sorted(one.age_s for one in suspects if one.started)
+    counts = [1] if ages_s else [0]
+    for shorter_s, longer_s in itertools.pairwise(ages_s):
+        alike = (
+            longer_s - shorter_s <= AGE_TOLERANCE_S + AGE_TOLERANCE * longer_s
+        )
+        counts.append(counts[-1] + 1 if alike else 1)
+    return max(counts)
--- a/packages/core/cactushead_core/dispatch/tests/test_crashes.py
+++ b/packages/core/cactushead_core/dispatch/tests/test_crashes.py
@@ -44,3 +44,34 @@
         suspects = (CrashSuspect(TASK, 0.02),)
         history.record(UpstreamCrashed(crash, suspects), now_s=12.0)
     assert history.is_crashing('a')
+
+
+OTHER_TASK = TaskRef('b', 0, 0)
+
+
+def shared_history(*pairs_s):
+    history = CrashHistory(retention_s=10.0)
+    for number, (age_s, other_age_s) in enumerate(pairs_s):
+        suspects = (
+            CrashSuspect(TASK, age_s),
+            CrashSuspect(OTHER_TASK, other_age_s),
+        )
+        history.record(UpstreamCrashed(f'u{number}', suspects), now_s=1.0)
+    return history
+
+
+# Guards against giving up a job whose task started beside the crashing one at
+# two upstreams; the third crash tells them apart.
+def test_two_tasks_that_look_alike_are_told_apart_by_a_third_crash():
+    both = shared_history((0.02, 0.02), (0.02, 0.04))
+    assert both.is_ambiguous('a') and both.is_ambiguous('b')
+    assert not both.is_crashing('a') and not both.is_crashing('b')
+    history = shared_history((0.02, 0.02), (0.02, 0.04), (0.02, 0.3))
+    assert history.is_crashing('a') and not history.is_crashing('b')
+
+
+# Guards against a task that goes on to crash upstreams because another one is
+# always beside it.
+def test_tasks_that_stay_alike_are_given_up_at_the_third_crash():
+    history = shared_history(*[(0.02, 0.02)] * 3)
+    assert history.is_crashing('a') and history.is_crashing('b')
