Evacuate a data centre on request of an operator

Entries offer nothing to agents of an evacuated data centre; agents return what is queued and let what runs end. Pings carry the version of the state. The state of requests that wait for the leader is shared with the configuration.

--- a/packages/core/cactushead_core/configuration/manager.py
+++ b/packages/core/cactushead_core/configuration/manager.py
@@ -1,7 +1,6 @@
 """Stores configurations in the replicated log and distributes them."""
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
 
 from ..effects import Effect, EventKind, LogEntry, Record, Respond, Send
 from ..messages.codec import decode_message, encode_message
@@ -16,11 +15,10 @@
     SubmitConfiguration,
 )
 from .model import Configuration
+from .requests import LeaderRequests, Proposals
 from .responses import ConfigurationStored, NewestConfiguration, Unavailable
 from .routing import QueueTable
 
-# Below the one second after which an operator tries another entry.
-REPLY_TIMEOUT_S = 0.9
 # Three pings of the leader, which tolerates two lost ones.
 CONFIRMATION_LIFETIME_S = 1.0
 NO_RECORD = ConfigurationRecord(0, b'')
@@ -41,28 +39,6 @@
         """
 
 
-@dataclass(slots=True)
-class _PendingRequest:
-    """A request that waits for the leader's reply.
-
-    Attributes:
-        request_id: Number of the caller's request.
-        deadline_s: When the request times out.
-    """
-
-    request_id: int
-    deadline_s: float
-
-
-@dataclass(slots=True)
-class _Proposal:
-    """A submission in the leader's log that is not committed yet."""
-
-    index: int
-    entry: str
-    attempt: int
-
-
 class ConfigurationManager:
     """Manages the stored and the active configuration and open requests.
 
@@ -92,9 +68,8 @@
         self._format = file_format
         self._stored = NO_RECORD
         self._applied_index = 0
-        self._attempts = 0
-        self._pending: dict[int, _PendingRequest] = {}
-        self._proposals: list[_Proposal] = []
+        self._requests = LeaderRequests()
+        self._proposals = Proposals(SubmissionReply)
         self._confirmed_s = float('-inf')
 
     @property
@@ -125,18 +100,17 @@
     def snapshot_installed(
         self,
         index: int,
-        state: bytes,
+        record: ConfigurationRecord,
         effects: list[Effect],
     ) -> None:
         """Replaces the state by that of a snapshot."""
         self._applied_index = index
-        record = decode_message(state)
-        if isinstance(record, ConfigurationRecord):
-            self._store(record, effects)
+        self._store(record, effects)
 
-    def snapshot(self) -> tuple[int, bytes]:
-        """Returns the applied index and the encoded state at that index."""
-        return self._applied_index, encode_message(self._stored)
+    @property
+    def stored(self) -> ConfigurationRecord:
+        """The newest committed configuration."""
+        return self._stored
 
     # Requests of operators, handled at any entry.
 
@@ -148,7 +122,7 @@
     ) -> None:
         """Forwards a validated configuration to the leader."""
         configuration = event.configuration
-        attempt = self._open_request(
+        attempt = self._requests.open(
             event.request_id, leader, event.now_s, effects
         )
         if attempt:
@@ -166,7 +140,7 @@
         effects: list[Effect],
     ) -> None:
         """Requests the newest configuration from the leader."""
-        attempt = self._open_request(
+        attempt = self._requests.open(
             event.request_id, leader, event.now_s, effects
         )
         if attempt:
@@ -178,48 +152,42 @@
         effects: list[Effect],
     ) -> None:
         """Responds to the operator with the result of a submission."""
-        pending = self._pending.pop(message.attempt, None)
-        if pending is None:
+        request_id = self._requests.close(message.attempt)
+        if request_id is None:
             return
         response = (
             ConfigurationStored()
             if message.stored
             else Unavailable('the leader could not store it')
         )
-        effects.append(Respond(pending.request_id, response))
+        effects.append(Respond(request_id, response))
 
     def newest_replied(
         self, message: NewestReply, effects: list[Effect]
     ) -> None:
         """Responds to the operator with the newest configuration."""
-        pending = self._pending.pop(message.attempt, None)
-        if pending is None:
+        request_id = self._requests.close(message.attempt)
+        if request_id is None:
             return
         if not message.known:
             effects.append(
-                Respond(pending.request_id, Unavailable('no valid lease')),
+                Respond(request_id, Unavailable('no valid lease')),
             )
             return
         effects.append(
             Respond(
-                pending.request_id,
+                request_id,
                 NewestConfiguration(message.version, message.source),
             ),
         )
 
     def caller_disconnected(self, request_id: int) -> None:
         """Removes the requests of a caller that disconnected."""
-        for attempt, pending in list(self._pending.items()):
-            if pending.request_id == request_id:
-                self._pending.pop(attempt)
+        self._requests.caller_disconnected(request_id)
 
     def tick(self, now_s: float, effects: list[Effect]) -> None:
         """Responds to requests that timed out."""
-        for attempt, pending in list(self._pending.items()):
-            if now_s >= pending.deadline_s:
-                self._pending.pop(attempt)
-                response = Unavailable('the leader did not answer')
-                effects.append(Respond(pending.request_id, response))
+        self._requests.tick(now_s, effects)
 
     # Requests of entries, handled at the leader.
 
@@ -244,7 +212,7 @@
         index = replica.propose(
             [encode_message(record)], memory_ack_requested=False
         )
-        self._proposals.append(_Proposal(index, sender, message.attempt))
+        self._proposals.add(index, sender, message.attempt)
 
     def send_newest(
         self,
@@ -271,21 +239,11 @@
 
     def acknowledge_stored(self, effects: list[Effect]) -> None:
         """Acknowledges the proposals that are committed."""
-        waiting = []
-        for proposal in self._proposals:
-            if proposal.index > self._applied_index:
-                waiting.append(proposal)
-                continue
-            reply = SubmissionReply(proposal.attempt, stored=True)
-            effects.append(Send(proposal.entry, reply))
-        self._proposals = waiting
+        self._proposals.acknowledge(self._applied_index, effects)
 
     def leadership_lost(self, effects: list[Effect]) -> None:
         """Replies to the senders of open proposals: the outcome is unknown."""
-        for proposal in self._proposals:
-            reply = SubmissionReply(proposal.attempt, stored=False)
-            effects.append(Send(proposal.entry, reply))
-        self._proposals = []
+        self._proposals.discard(effects)
 
     # Distribution to other entries.
 
@@ -339,21 +297,3 @@
                 logged=True,
             ),
         )
-
-    def _open_request(
-        self,
-        request_id: int,
-        leader: str,
-        now_s: float,
-        effects: list[Effect],
-    ) -> int:
-        """Returns the number of a new request, 0 if no leader is known."""
-        if not leader:
-            response = Unavailable('no leader is known')
-            effects.append(Respond(request_id, response))
-            return 0
-        self._attempts += 1
-        self._pending[self._attempts] = _PendingRequest(
-            request_id, now_s + REPLY_TIMEOUT_S
-        )
-        return self._attempts
--- a/packages/core/cactushead_core/discovery/messages.py
+++ b/packages/core/cactushead_core/discovery/messages.py
@@ -43,11 +43,13 @@
         leads: Whether the sender is the leader of that term with a valid
             lease.
         configuration_version: Version of the sender's configuration.
+        evacuations_version: Version of the evacuations that it knows.
     """
 
     term: int = 0
     leads: bool = False
     configuration_version: int = 0
+    evacuations_version: int = 0
 
 
 @wire_type(128)
--- a/packages/core/cactushead_core/dispatch/agent_view.py
+++ b/packages/core/cactushead_core/dispatch/agent_view.py
@@ -28,6 +28,7 @@
         service: Service of the agent's upstream, of the last one if it has
             none.
         ready: Whether tasks may be offered.
+        evacuated: Whether the data centre of the agent is evacuated.
         capacity: Total resources of the same upstream.
         labels: Labels of the same upstream.
         allocated_cpu_m: Allocated processor capacity in the last load report,
@@ -52,6 +53,7 @@
     session: int = 0
     service: str = ''
     ready: bool = False
+    evacuated: bool = False
     capacity: Resources = Resources()
     labels: tuple[str, ...] = ()
     allocated_cpu_m: int = 0
@@ -74,7 +76,12 @@
     @property
     def usable(self) -> bool:
         """Whether tasks may be offered to the agent now."""
-        return self.connected and self.ready and self.session > 0
+        return (
+            self.connected
+            and self.ready
+            and self.session > 0
+            and not self.evacuated
+        )
 
     def start_session(self, report: UpstreamReport) -> None:
         """Starts a session with the state of the upstream.
--- a/packages/core/cactushead_core/dispatch/dispatcher.py
+++ b/packages/core/cactushead_core/dispatch/dispatcher.py
@@ -191,6 +191,17 @@
         view.connected = True
         view.session = 0
 
+    def set_evacuated(self, name: str, *, evacuated: bool) -> None:
+        """Records whether the data centre of an agent is evacuated.
+
+        Args:
+            name: Name of the agent.
+            evacuated: Whether nothing may be offered to it.
+        """
+        view = self._views.get(name)
+        if view is not None:
+            view.evacuated = evacuated
+
     def on_agent_lost(self, peer: Peer, now_s: float) -> None:
         """Records the time at which the link of an agent was lost."""
         view = self._views.get(peer.name)
--- a/packages/core/cactushead_core/fleet/entry.py
+++ b/packages/core/cactushead_core/fleet/entry.py
@@ -19,6 +19,13 @@
 from ..dispatch import Dispatcher
 from ..dispatch.events import BestEffortSubmitted, CancelRequested
 from ..effects import Drained, Effect, EventKind, Record, Send
+from ..evacuation import (
+    EvacuationReply,
+    EvacuationRequested,
+    EvacuationState,
+    SubmitEvacuation,
+)
+from ..evacuation.manager import EvacuationManager
 from ..events import (
     CallerDisconnected,
     DrainRequested,
@@ -42,7 +49,9 @@
     UpstreamLoad,
     UpstreamReport,
 )
+from .evacuated_agents import EvacuatedAgents
 from .settings import FleetSettings
+from .state_machine import StateMachine
 from .voter import Voter
 from .voter_selection import VoterSelection
 
@@ -52,6 +61,7 @@
 
     Attributes:
         configuration: The active configuration.
+        evacuations: The evacuated data centres.
         dispatcher: Dispatcher of the open jobs.
     """
 
@@ -75,13 +85,22 @@
         name = settings.own.name
         self.settings = settings
         self.configuration = ConfigurationManager(name, file_format)
+        self.evacuations = EvacuationManager(name, settings.data_centres)
         self.discovery = Discovery(settings.own, settings.seeds)
         self.dispatcher = Dispatcher(
             settings.dispatch,
             seed=settings.seed,
             find_entries=lambda: self.discovery.peers(PeerRole.ENTRY),
         )
-        self.voter = Voter(settings, stored, self.configuration, now_s)
+        state_machine = StateMachine(self.configuration, self.evacuations)
+        self.voter = Voter(settings, stored, state_machine, now_s)
+        self._evacuated_agents = EvacuatedAgents(
+            name,
+            self.evacuations,
+            self.discovery,
+            self.dispatcher,
+            lambda: self.voter.is_leader,
+        )
         self._voter_selection = VoterSelection(settings, self.discovery)
         self._own_peer = Peer(name, PeerRole.ENTRY, incarnation)
         self._leader = ''
@@ -133,6 +152,7 @@
                 self.dispatcher.on_cancel_requested(event, effects)
             case CallerDisconnected():
                 self.configuration.caller_disconnected(event.request_id)
+                self.evacuations.caller_disconnected(event.request_id)
                 self.dispatcher.on_caller_disconnected(
                     event.request_id, now_s, effects
                 )
@@ -142,6 +162,8 @@
                 )
             case NewestRequested():
                 self.configuration.newest_requested(event, self.leader, effects)
+            case EvacuationRequested():
+                self.evacuations.requested(event, self.leader, effects)
             case Tick():
                 self._on_tick(event, effects)
             case PeerConnected():
@@ -153,6 +175,7 @@
 
     def _end_turn(self, event: TurnEnded, effects: list[Effect]) -> None:
         self.voter.handle(event, effects)
+        self._evacuated_agents.end_turn(effects)
         self._announce_version(effects)
         if self.dispatcher.draining and self.dispatcher.idle:
             self._end_drain(effects)
@@ -239,6 +262,12 @@
                 manager.newest_replied(message, effects)
             case ConfigurationUpdate():
                 manager.update_received(message, effects)
+            case SubmitEvacuation():
+                self.evacuations.store(sender, message, replica, now_s, effects)
+            case EvacuationReply():
+                self.evacuations.replied(message, effects)
+            case EvacuationState():
+                self.evacuations.state_received(message, effects)
 
     def _on_tick(self, event: Tick, effects: list[Effect]) -> None:
         now_s = event.now_s
@@ -255,9 +284,15 @@
         if elected:
             due = list(self.discovery.connected)
         if due:
-            ping = Ping(self.voter.term, leads, self.configuration.version)
+            ping = Ping(
+                self.voter.term,
+                leads,
+                self.configuration.version,
+                self.evacuations.version,
+            )
             effects.extend(Send(name, ping) for name in due)
         self.configuration.tick(now_s, effects)
+        self.evacuations.tick(now_s, effects)
         self.dispatcher.tick(now_s, effects)
 
     def _active_peers(self) -> set[str]:
@@ -281,6 +316,8 @@
             self.configuration.confirm_newest(ping.configuration_version, now_s)
         if sender.role is not PeerRole.ENTRY:
             return
+        if ping.evacuations_version < self.evacuations.version:
+            effects.append(Send(sender.name, self.evacuations.active))
         update = self.configuration.current_update()
         if update is not None and ping.configuration_version < update.version:
             effects.append(Send(sender.name, update))
@@ -293,6 +330,7 @@
         effects: list[Effect],
     ) -> None:
         self.discovery.introduction_received(message)
+        self._evacuated_agents.introduced(message.member, effects)
         self._set_voters(message.voters, now_s, effects)
 
     def _set_voters(
--- a/packages/core/cactushead_core/fleet/settings.py
+++ b/packages/core/cactushead_core/fleet/settings.py
@@ -25,6 +25,8 @@
             a committed configuration before a leader is known.
         kept_entries: Entries kept in memory for voters that lag slightly;
             more than the changes of a minute.
+        data_centres: Data centres that may be evacuated; empty if any name is
+            accepted.
         dispatch: Settings of the dispatcher.
         seed: Seed of the random jitter.
     """
@@ -37,6 +39,7 @@
     election_s: float = 0.6
     snapshot_entries: int = 0
     kept_entries: int = 100
+    data_centres: tuple[str, ...] = ()
     dispatch: DispatchSettings = field(default_factory=DispatchSettings)
     seed: int = 0
 
--- a/packages/core/cactushead_core/fleet/tests/simulation.py
+++ b/packages/core/cactushead_core/fleet/tests/simulation.py
@@ -21,6 +21,7 @@
 )
 from cactushead_core.dispatch import BestEffortSubmitted
 from cactushead_core.dispatch.settings import DispatchSettings
+from cactushead_core.evacuation import EvacuationRequested
 from cactushead_core.events import (
     CallerDisconnected,
     Event,
@@ -162,9 +163,11 @@
         capacity: Resources = CAPACITY,
         run_s: float = 0.3,
         dispatch: DispatchSettings | None = None,
+        data_centres: tuple[str, ...] = (),
     ) -> None:
         """Starts all processes at the same time."""
         self._dispatch = dispatch or DispatchSettings()
+        self._data_centres = data_centres
         self.now_s = 100.0
         self.history = History()
         self.responses: dict[int, fx.Response] = {}
@@ -326,6 +329,23 @@
         )
         return number
 
+    def evacuate(
+        self, entry: str, data_centre: str, *, evacuated: bool = True
+    ) -> int:
+        """Evacuates a data centre, or ends that; returns the request's number.
+
+        Explanation:
+            Each process has a data centre of its own, `dc-` and its name.
+        """
+        number = next(self._requests)
+        self.feed(
+            entry,
+            lambda now_s: EvacuationRequested(
+                now_s, number, data_centre, evacuated
+            ),
+        )
+        return number
+
     def read(self, entry: str) -> int:
         """Requests the newest configuration."""
         number = next(self._requests)
@@ -383,6 +403,7 @@
                 member,
                 self.seeds,
                 first_start=first,
+                data_centres=self._data_centres,
                 dispatch=self._dispatch,
             ),
             process.peer.incarnation,
--- a/packages/core/cactushead_core/fleet/voter.py
+++ b/packages/core/cactushead_core/fleet/voter.py
@@ -1,6 +1,5 @@
 """An entry's replica of the log and its leadership."""
 
-from ..configuration.manager import ConfigurationManager
 from ..effects import Effect, EventKind, Record
 from ..events import Event, TurnEnded
 from ..replication import (
@@ -18,6 +17,7 @@
 )
 from ..replication.membership import MembershipHistory, decode_members
 from .settings import FleetSettings
+from .state_machine import StateMachine
 
 
 class Voter:
@@ -36,7 +36,7 @@
         self,
         settings: FleetSettings,
         stored: StoredLog,
-        manager: ConfigurationManager,
+        state_machine: StateMachine,
         now_s: float,
     ) -> None:
         """Initializes the replica from the contents of the disk.
@@ -44,14 +44,14 @@
         Args:
             settings: Settings of the entry.
             stored: Contents of the disk.
-            manager: State machine to which committed entries are applied.
+            state_machine: Applies committed entries.
             now_s: The process's clock.
         """
         self.replica: Replica | None = None
         self.is_leader = False
         self._settings = settings
         self._stored = stored
-        self._manager = manager
+        self._state_machine = state_machine
         self._handlers = {
             LeaderReady: self._on_leader_ready,
             LeaderLost: self._on_leader_lost,
@@ -89,7 +89,7 @@
             return
         self._handle_output(self.replica.handle(event), effects)
         if isinstance(event, TurnEnded) and self.is_leader:
-            self._manager.acknowledge_stored(effects)
+            self._state_machine.acknowledge_stored(effects)
 
     def transfer_leadership(self, effects: list[Effect]) -> None:
         """Transfers leadership to another voter before this process stops."""
@@ -158,7 +158,7 @@
         self, notice: LeaderLost, effects: list[Effect]
     ) -> None:
         self.is_leader = False
-        self._manager.leadership_lost(effects)
+        self._state_machine.leadership_lost(effects)
         effects.append(
             Record(
                 EventKind.LEADER_LOST,
@@ -173,14 +173,16 @@
         notice: EntriesCommitted,
         effects: list[Effect],
     ) -> None:
-        self._manager.entries_committed(notice.entries, effects)
+        self._state_machine.entries_committed(notice.entries, effects)
 
     def _on_snapshot_installed(
         self,
         notice: SnapshotInstalled,
         effects: list[Effect],
     ) -> None:
-        self._manager.snapshot_installed(notice.index, notice.state, effects)
+        self._state_machine.snapshot_installed(
+            notice.index, notice.state, effects
+        )
 
     def _on_snapshot_needed(
         self,
@@ -188,7 +190,7 @@
         effects: list[Effect],
     ) -> None:
         if self.replica is not None:
-            index, state = self._manager.snapshot()
+            index, state = self._state_machine.snapshot()
             self._handle_output(self.replica.compact(index, state), effects)
 
 
--- a/packages/core/cactushead_core/leasing/incarnations.py
+++ b/packages/core/cactushead_core/leasing/incarnations.py
@@ -19,6 +19,7 @@
 
     Attributes:
         draining: Whether the agent accepts no more tasks.
+        evacuated: Whether the agent's data centre is evacuated.
         report_due: Whether all entries need a new report.
     """
 
@@ -42,6 +43,7 @@
             crash_reporter: Its reports of crashes.
         """
         self.draining = False
+        self.evacuated = False
         self.report_due = False
         self._runs = runs
         self._tracker = tracker
@@ -53,7 +55,11 @@
     @property
     def ready(self) -> bool:
         """Whether new tasks may start."""
-        return self._tracker.accepts_tasks and not self.draining
+        return (
+            self._tracker.accepts_tasks
+            and not self.draining
+            and not self.evacuated
+        )
 
     def heartbeat_received(
         self,
--- a/packages/core/cactushead_core/leasing/lease_manager.py
+++ b/packages/core/cactushead_core/leasing/lease_manager.py
@@ -303,6 +303,17 @@
             self._reconciler.mean_run_s, capacity_cpu_m, now_s, effects
         )
 
+    def set_evacuated(self, now_s: float, *, evacuated: bool) -> None:
+        """Returns the queued tasks when the data centre is evacuated.
+
+        Args:
+            now_s: The agent's clock.
+            evacuated: Whether no more tasks may start.
+        """
+        if self._incarnations.evacuated is not evacuated:
+            self._incarnations.evacuated = evacuated
+            self._incarnations.report_change(now_s)
+
     def drain(self, now_s: float) -> None:
         """Stops accepting tasks and returns the queued ones."""
         self._incarnations.draining = True
--- a/packages/core/cactushead_core/leasing/node.py
+++ b/packages/core/cactushead_core/leasing/node.py
@@ -8,6 +8,7 @@
     Ping,
 )
 from ..effects import Drained, Effect, EventKind, Record, Send
+from ..evacuation import EvacuationState
 from ..events import (
     DrainRequested,
     Event,
@@ -48,6 +49,7 @@
         self.settings = settings
         self.discovery = discovery
         self.manager = LeaseManager(settings)
+        self._evacuations = EvacuationState()
         self._draining = False
         self._drained = False
 
@@ -113,6 +115,29 @@
                 self.discovery.introduction_received(message)
             case MemberAddresses():
                 self.discovery.addresses_received(message)
+            case EvacuationState():
+                self._on_evacuation_state(message, event.now_s, effects)
+
+    def _on_evacuation_state(
+        self,
+        state: EvacuationState,
+        now_s: float,
+        effects: list[Effect],
+    ) -> None:
+        """Obeys the newest state; entries may send older ones later."""
+        if state.version <= self._evacuations.version:
+            return
+        self._evacuations = state
+        evacuated = self.discovery.own.data_centre in state.data_centres
+        self.manager.set_evacuated(now_s, evacuated=evacuated)
+        effects.append(
+            Record(
+                'evacuations in force',
+                subject=self.settings.name,
+                detail=f'version {state.version}, evacuated: {evacuated}',
+                logged=True,
+            ),
+        )
 
     def _on_tick(self, event: Tick, effects: list[Effect]) -> None:
         now_s = event.now_s
--- a/packages/core/cactushead_core/messages/base.py
+++ b/packages/core/cactushead_core/messages/base.py
@@ -26,7 +26,7 @@
     """Registers a message dataclass under a wire code.
 
     Codes: 1-19 leases and agents, 20-39 jobs, 40-59 documents, 60-79
-    replication, 80-99 log records, 100-119 time line and metrics, 120-139
+    replication, 80-99 log records, 100-119 time line and metrics, 120-149
     fleets.
 
     Args:
--- a/packages/node/cactushead_node/fleet/entry_process.py
+++ b/packages/node/cactushead_node/fleet/entry_process.py
@@ -87,6 +87,7 @@
                 settings.seeds,
                 losses=settings.losses,
                 first_start=settings.first_start,
+                data_centres=settings.data_centres,
                 dispatch=settings.dispatch,
                 seed=zlib.crc32(incarnation.encode()),
             ),
--- a/packages/node/cactushead_node/fleet/gateway.py
+++ b/packages/node/cactushead_node/fleet/gateway.py
@@ -12,6 +12,7 @@
 from cactushead_core.configuration.model import QueueDocument
 from cactushead_core.dispatch import BestEffortSubmitted, CancelRequested
 from cactushead_core.effects import Response
+from cactushead_core.evacuation import EvacuationRequested
 from cactushead_core.fleet import FleetEntry
 from cactushead_core.tasks import (
     BestEffortJob,
@@ -232,6 +233,22 @@
         """Returns the newest stored configuration."""
         return await self._requests.request(_query_newest)
 
+    async def evacuate(self, data_centre: str, *, evacuated: bool) -> Response:
+        """Evacuates a data centre, or ends its evacuation.
+
+        Args:
+            data_centre: Name of the data centre.
+            evacuated: Whether no more tasks may start there.
+        """
+        return await self._requests.request(
+            lambda now_s, number: EvacuationRequested(
+                now_s,
+                number,
+                data_centre,
+                evacuated,
+            ),
+        )
+
     def _warn_once(self, feature: str) -> None:
         """Logs a missing feature when it is first required."""
         if feature not in self._warned_features:
--- a/packages/node/cactushead_node/fleet/parse.py
+++ b/packages/node/cactushead_node/fleet/parse.py
@@ -42,6 +42,7 @@
         losses=reader.integer('losses', lowest=0, highest=MAX_LOSSES),
         first_start=reader.flag('first_start', default=False),
         grace_s=_read_grace_s(reader),
+        data_centres=_read_data_centres(reader),
         dispatch=_read_dispatch(reader),
     )
     raise_settings_findings(reader)
@@ -122,6 +123,12 @@
     )
 
 
+def _read_data_centres(reader: FieldReader) -> tuple[str, ...]:
+    if reader.has('data_centres'):
+        return tuple(reader.texts('data_centres'))
+    return ()
+
+
 def _read_dispatch(reader: FieldReader) -> DispatchSettings:
     default = DispatchSettings()
     return DispatchSettings(
--- a/packages/node/cactushead_node/fleet/settings.py
+++ b/packages/node/cactushead_node/fleet/settings.py
@@ -25,6 +25,8 @@
         losses: Number of disks whose simultaneous loss is tolerated.
         first_start: Whether the fleet is bootstrapped for the first time.
         grace_s: Grace period from a stop signal until the process is killed.
+        data_centres: Data centres that operators may evacuate; empty if any
+            name is accepted.
         dispatch: Settings of the dispatcher.
     """
 
@@ -37,6 +39,7 @@
     losses: int = 1
     first_start: bool = False
     grace_s: float = 6.0
+    data_centres: tuple[str, ...] = ()
     dispatch: DispatchSettings = field(default_factory=DispatchSettings)
 
 
