Let a waiting run claim room that will become free

Cause: an agent starts each queued run that fits, in order, so small runs that keep arriving take the gaps that a large one waits for.

On the deployments: not measured yet.

--- a/packages/core/cactushead_core/leasing/lease_manager.py
+++ b/packages/core/cactushead_core/leasing/lease_manager.py
@@ -22,6 +22,7 @@
 from .runs import LeasedRun, Phase, RunTable, run_record
 from .sessions import Sessions
 from .settings import LeasingSettings
+from .start_plan import plan_starts
 from .stop_calls import StopCalls
 from .upstream_tracker import UpstreamTracker
 
@@ -44,6 +45,7 @@
             settings: Settings.
         """
         self.runs = RunTable()
+        self._claims = settings.claims
         self._calls = UpstreamCalls(settings)
         max_duration_s = self._calls.clock.max_duration_s(settings.lease_s)
         self._tracker = UpstreamTracker(max_duration_s)
@@ -354,13 +356,20 @@
         if not self.runs.queued_count:
             return False
         was_idle = self.idle
-        for run in self.runs.queued(now_s):
-            free = upstream.capacity - self.runs.allocated
-            if free.can_fit(run.needs):
-                self.runs.mark_started(run, now_s)
-                effects.append(self._calls.start(run, upstream, now_s))
-            elif not run.may_wait:
-                self._outbox.finish(run, RunEnd.NO_CAPACITY, now_s, 'no room')
+        plan = plan_starts(
+            self.runs.queued(now_s),
+            self.runs.at_upstream(),
+            upstream.capacity - self.runs.allocated,
+            now_s,
+            claims=self._claims,
+        )
+        for run in plan.starts:
+            self.runs.mark_started(run, now_s)
+            effects.append(self._calls.start(run, upstream, now_s))
+        for rejected in plan.rejected:
+            self._outbox.finish(rejected, RunEnd.NO_CAPACITY, now_s, 'no room')
+        if plan.held_back:
+            effects.append(Count('claims', 'held back', plan.held_back))
         return was_idle and not self.idle
 
 
--- a/packages/core/cactushead_core/leasing/settings.py
+++ b/packages/core/cactushead_core/leasing/settings.py
@@ -24,6 +24,8 @@
         load_interval_s: Minimum interval between two load messages to an
             entry; below the shortest run, so that few offers are based on
             stale load.
+        claims: Whether a waiting run claims room that will become free, so
+            that smaller ones don't start before it for ever.
     """
 
     name: str
@@ -36,3 +38,4 @@
     owner_grace_s: float = 0.5
     idle_list_interval_s: float = 1.0
     load_interval_s: float = 0.1
+    claims: bool = False
--- a/packages/node/cactushead_node/fleet/agent_process.py
+++ b/packages/node/cactushead_node/fleet/agent_process.py
@@ -79,6 +79,7 @@
                 settings.own.name,
                 lease_s=settings.lease_s,
                 token=time.time_ns() // NANOSECONDS_PER_MS,
+                claims=settings.claims,
             ),
             Discovery(settings.own, settings.seeds),
         )
--- a/packages/node/cactushead_node/fleet/parse.py
+++ b/packages/node/cactushead_node/fleet/parse.py
@@ -66,6 +66,7 @@
         heartbeats=_read_address(reader, 'heartbeats'),
         lease_s=reader.number('lease_s', highest=MAX_DURATION_S, default=1.0),
         grace_s=_read_grace_s(reader),
+        claims=reader.flag('claims', default=False),
     )
     raise_settings_findings(reader)
     return settings
--- a/packages/node/cactushead_node/fleet/settings.py
+++ b/packages/node/cactushead_node/fleet/settings.py
@@ -53,6 +53,7 @@
         heartbeats: Address that it listens on for upstream heartbeats.
         lease_s: Maximum lease that the upstream grants.
         grace_s: Grace period from a stop signal until the process is killed.
+        claims: Whether a waiting run claims room that will become free.
     """
 
     own: MemberAddress
@@ -60,6 +61,7 @@
     heartbeats: Address
     lease_s: float = 1.0
     grace_s: float = 6.0
+    claims: bool = False
 
     @property
     def drain_s(self) -> float:
