Write each request to an upstream at once

Cause: each start and renewal takes one HTTP exchange. The library's connection object writes head and body separately and takes about half of the exchange's processor time in locks and traces.

Change: a connection uses the library's stream and its parser directly; one write for each request. Errors and time-outs are the library's, as before.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -18,6 +18,7 @@
 CONSTRAINTS_FILE = ROOT / 'constraints.txt'
 LIBRARIES = (
     'cbor2',
+    'h11',
     'hdrhistogram',
     'h2',
     'httpcore',
--- a/packages/node/cactushead_node/connections.py
+++ b/packages/node/cactushead_node/connections.py
@@ -3,9 +3,13 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+import h11
 import httpcore
 import trio
 
+# Above the answers of upstreams, so that one read takes all of one.
+READ_BYTES = 65_536
+
 
 @dataclass(frozen=True, slots=True)
 class Timeouts:
@@ -39,6 +43,93 @@
     )
 
 
+class _Connection:
+    """A connection on which one request at a time is sent.
+
+    Explanation:
+        A request is written at once, and the parser of the library behind the
+        general connection is used directly: that connection takes two writes
+        and about twice the processor time for each request.
+    """
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+        """Wraps an open stream.
+
+        Args:
+            stream: The stream.
+        """
+        self._stream = stream
+        self._http = h11.Connection(h11.CLIENT)
+
+    @property
+    def closed_by_server(self) -> bool:
+        """Whether an idle connection was closed by the server."""
+        return bool(self._stream.get_extra_info('is_readable'))
+
+    async def exchange(
+        self, request: h11.Request, content: bytes, timeouts: Timeouts
+    ) -> tuple[int, bytes]:
+        """Sends a request and returns the status and the body of the answer.
+
+        Args:
+            request: Head of the request.
+            content: Its body.
+            timeouts: Time-outs of the request.
+
+        Raises:
+            httpcore.NetworkError: The connection broke.
+            httpcore.ProtocolError: The answer is no valid HTTP.
+            httpcore.TimeoutException: There was no answer in time.
+        """
+        events = (request, h11.Data(data=content), h11.EndOfMessage())
+        blob = b''.join(self._http.send(event) or b'' for event in events)
+        await self._stream.write(blob, timeout=timeouts.connect_s)
+        status = 0
+        body = []
+        while True:
+            event = await self._next_event(timeouts.read_s)
+            match event:
+                case h11.Response():
+                    status = event.status_code
+                case h11.Data():
+                    body.append(bytes(event.data))
+                case h11.EndOfMessage():
+                    return status, b''.join(body)
+
+    def prepare_next(self) -> bool:
+        """Returns whether the connection can be used for another request."""
+        states = (self._http.our_state, self._http.their_state)
+        if states != (h11.DONE, h11.DONE):
+            return False
+        self._http.start_next_cycle()
+        return True
+
+    async def close(self) -> None:
+        """Closes the connection."""
+        await self._stream.aclose()
+
+    async def _next_event(self, read_s: float) -> h11.Event:
+        """Returns the next event of the answer."""
+        event = self._parse()
+        while event is h11.NEED_DATA:
+            received = await self._stream.read(READ_BYTES, timeout=read_s)
+            event = self._parse(received)
+        if isinstance(event, h11.Event):
+            return event
+        raise httpcore.RemoteProtocolError(f'unexpected {event!r}')
+
+    def _parse(
+        self, received: bytes | None = None
+    ) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        """Returns the next event after received bytes; empty ones end it."""
+        if received is not None:
+            self._http.receive_data(received)
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise httpcore.RemoteProtocolError(str(error)) from error
+
+
 class ReusedConnections:
     """Connections to one server, each used by one request at a time.
 
@@ -57,7 +148,7 @@
         self._backend = httpcore.TrioBackend()
         self._slots = trio.Semaphore(max_connections)
         self._address = ''
-        self._idle: list[httpcore.AsyncHTTP11Connection] = []
+        self._idle: list[_Connection] = []
 
     async def post(
         self,
@@ -107,58 +198,40 @@
         timeouts: Timeouts,
     ) -> tuple[int, bytes]:
         connection = await self._take(address, timeouts.connect_s)
-        request = httpcore.Request(
-            b'POST',
-            f'http://{address}{path}',
+        request = h11.Request(
+            method='POST',
+            target=path,
             headers=[
                 (b'host', address.encode('ascii')),
                 (b'content-length', b'%d' % len(content)),
                 *headers,
             ],
-            content=content,
-            extensions={
-                'timeout': {
-                    'read': timeouts.read_s,
-                    'write': timeouts.connect_s,
-                },
-            },
         )
         try:
-            response = await connection.handle_async_request(request)
+            status, body = await connection.exchange(request, content, timeouts)
         except BaseException:
             await self._discard(connection)
             raise
-        try:
-            body = await response.aread()
-        finally:
-            # Closing an answer that was not read closes its connection too.
-            with trio.CancelScope(shield=True):
-                await response.aclose()
-        if connection.is_idle() and address == self._address:
+        if connection.prepare_next() and address == self._address:
             self._idle.append(connection)
         else:
             await self._discard(connection)
-        return response.status, body
+        return status, body
 
-    async def _discard(
-        self, connection: httpcore.AsyncHTTP11Connection
-    ) -> None:
+    async def _discard(self, connection: _Connection) -> None:
         with trio.CancelScope(shield=True):
-            await connection.aclose()
+            await connection.close()
 
-    async def _take(
-        self, address: str, connect_s: float
-    ) -> httpcore.AsyncHTTP11Connection:
+    async def _take(self, address: str, connect_s: float) -> _Connection:
         """Returns an idle connection to a server, or opens one."""
         if address != self._address:
             await self._close_idle()
             self._address = address
         while self._idle:
             connection = self._idle.pop()
-            # The server may have closed it meanwhile.
-            if not connection.has_expired():
+            if not connection.closed_by_server:
                 return connection
-            await connection.aclose()
+            await connection.close()
         host, _, port = address.rpartition(':')
         try:
             stream = await self._backend.connect_tcp(
@@ -166,9 +239,8 @@
             )
         except httpcore.ConnectTimeout as error:
             raise httpcore.ConnectError(str(error)) from error
-        origin = httpcore.Origin(b'http', host.encode('ascii'), int(port))
-        return httpcore.AsyncHTTP11Connection(origin, stream)
+        return _Connection(stream)
 
     async def _close_idle(self) -> None:
         while self._idle:
-            await self._idle.pop().aclose()
+            await self._idle.pop().close()
