Give up a task at the fourth crash even beside one that looks alike

A task that crashes its upstreams after varying times was spared up to the fifth crash if a task of another job looked alike in more of them by chance. The rule allows two more starts after three crashes; the fourth crash now ends it. Its test failed before.

--- a/packages/core/cactushead_core/dispatch/crashes.py
+++ b/packages/core/cactushead_core/dispatch/crashes.py
@@ -9,6 +9,9 @@
 # Crashes under a task after which it is given up, even if they don't look
 # alike.
 MAX_CRASHES = 3
+# The same, if more of them look alike under another job: the next one is given
+# up anyway, since a task may start at most twice more after three crashes.
+MAX_CRASHES_AMBIGUOUS = 4
 # The same, with those whose start calls were not answered: such a call may have
 # come after the crash.
 MAX_CRASHES_UNCONFIRMED = 5
@@ -139,11 +142,14 @@
 
     def _is_cause(self, job: str, suspects: _Suspects) -> bool:
         """Whether the crashes under a task's runs are due to the task."""
-        if len(suspects) >= MAX_CRASHES_UNCONFIRMED:
+        started = sum(one.started for one in suspects.values())
+        if (
+            len(suspects) >= MAX_CRASHES_UNCONFIRMED
+            or started >= MAX_CRASHES_AMBIGUOUS
+        ):
             return True
         alike = _alike_count(suspects.values())
         rival = self._rival(job, suspects)
-        started = sum(one.started for one in suspects.values())
         return alike > max(rival, 1) or (
             started >= MAX_CRASHES and alike >= rival
         )
--- a/packages/core/cactushead_core/dispatch/tests/test_crashes.py
+++ b/packages/core/cactushead_core/dispatch/tests/test_crashes.py
@@ -75,3 +75,11 @@
 def test_tasks_that_stay_alike_are_given_up_at_the_third_crash():
     history = shared_history(*[(0.02, 0.02)] * 3)
     assert history.is_crashing('a') and history.is_crashing('b')
+
+
+# Guards against a task that crashes upstreams after any time and is spared
+# because another job's task looks alike by chance.
+def test_task_beside_one_that_looks_alike_is_given_up_at_the_fourth_crash():
+    pairs_s = [(0.02, 0.5), (0.3, 0.5), (0.7, 0.5), (1.2, 0.9)]
+    assert not shared_history(*pairs_s[:3]).is_crashing('a')
+    assert shared_history(*pairs_s).is_crashing('a')
