--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -227,7 +227,7 @@
         for process in self.processes.values():
             process.wait()
         for runner in self.runners:
-            if not runner._stopped.is_set():
+            if not runner.stopped:
                 runner.close()
         if os.environ.get('KEEP_LOGS'):
             for path in self.temporary.glob('*.log'):
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -5,6 +5,7 @@
 The `spec` of a task is JSON; its field `ms` is how long the task works.
 """
 
+import contextlib
 import http.client
 import json
 import socket
@@ -85,6 +86,7 @@
         self._token = 0
         self._deadline_ms = 0
         self._sequence = 0
+        self._connections = set()
         self._stopped = threading.Event()
         self._server = Server((host, port), self._handler())
         self.port = self._server.server_address[1]
@@ -94,12 +96,20 @@
 
     def close(self):
         """Ends the runner as a crash does: nothing runs any more."""
-        self._stopped.set()
         with self._changed:
+            self._stopped.set()
             for run in list(self._running.values()):
                 self._end(run, 'crashed')
         self._server.shutdown()
         self._server.server_close()
+        for connection in list(self._connections):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
+    @property
+    def stopped(self):
+        """Whether the runner has ended."""
+        return self._stopped.is_set()
 
     def clock_ms(self):
         return int((time.monotonic() - self._clock_start_s) * 1000)
@@ -112,6 +122,8 @@
             task, number = body['task'], body['run']
             if not self._accept_token(body):
                 return self._refuse('fence')
+            if self._stopped.is_set():
+                return 503, {}
             known = self._running.get(task)
             if known is not None and known.number == number:
                 return 200, {'clock-ms': self.clock_ms()}
@@ -253,10 +265,15 @@
 
             def setup(self):
                 super().setup()
+                runner._connections.add(self.connection)
                 self.connection.setsockopt(
                     socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
                 )
 
+            def finish(self):
+                runner._connections.discard(self.connection)
+                super().finish()
+
             def do_POST(self):
                 length = int(self.headers['content-length'])
                 body = json.loads(self.rfile.read(length))
@@ -265,6 +282,9 @@
                     status, answer = 421, {}
                 else:
                     status, answer = calls[self.path](body)
+                if runner.stopped:
+                    self.close_connection = True
+                    return
                 content = json.dumps(answer).encode()
                 head = (
                     f'HTTP/1.1 {status} x\r\n'
