--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -64,7 +64,7 @@
                 self.add_runner(f'i-{number}', host)
             self._put_configuration()
             self._wait_until_ready()
-        except CannotRun:
+        except Exception:
             self.close()
             raise
 
@@ -321,8 +321,8 @@
     trouble = os.environ.get('TROUBLE', '1') != '0'
     try:
         breaks = play(folder, trouble)
-    except CannotRun as error:
-        sys.stdout.write(f'the case could not run: {error}\n')
+    except Exception as error:
+        sys.stdout.write(f'the case could not run: {error!r}\n')
         return 2
     with (Path(folder) / 'record.txt').open('a') as record:
         for text in breaks or ['the rule held']:
