Drop what an owner has given up before any other event

Cause: an entry gives up an agent 2.54 s after the loss of the link, and counts on the agent to start and renew nothing for it after the first 1.5 s. The agent derived that from its links, which it learns only by reading: after a pause all time-outs began anew, and the grace period began when the lost link was noticed. Runs at the upstream lapse meanwhile, queued ones have no lease.

Change: `Node.reduce` notices a pause in one place and handles `ProcessResumed` before the next event. `OwnershipTimes` has the time at which the claim of each owner lapses, by a clock that goes on; what was unread during a pause counts from its beginning. The agent drops the runs of lapsed owners before it handles any event.

The simulated fleet hid the fault: its upstream let a renewal wait although there were ends to list, and the end of a link passed through a partition. Both are as on the wire now. `test_process_drops_no_peers_after_its_own_pause` tests the reducer in place of `Discovery`, since pauses are noticed there, and with two kinds of first events instead of one.

--- a/packages/core/cactushead_core/agents/node.py
+++ b/packages/core/cactushead_core/agents/node.py
@@ -59,6 +59,7 @@
             config: Configuration.
             now_s: Monotonic clock.
         """
+        super().__init__()
         timing = config.timing
         self.config = config
         self.lease = Lease(timing.lease_s)
--- a/packages/core/cactushead_core/discovery/discovery.py
+++ b/packages/core/cactushead_core/discovery/discovery.py
@@ -159,6 +159,14 @@
             ):
                 self._add_announced(member)
 
+    def resumed(self, now_s: float) -> None:
+        """Restarts the time-outs of the peers after a pause of this process.
+
+        Args:
+            now_s: The process's clock.
+        """
+        self._keepalive.resumed(now_s)
+
     def message_received(self, name: str, now_s: float) -> bool:
         """Records that a peer sent a message.
 
--- a/packages/core/cactushead_core/discovery/keepalive.py
+++ b/packages/core/cactushead_core/discovery/keepalive.py
@@ -13,9 +13,6 @@
 IDLE_TIMEOUT_S = 3.2
 # The idle ping interval and the time that a ping may take on a busy machine.
 MAX_SILENCE_S = 1.6
-# Ticks are at most 0.25 s apart; a longer gap means that the process was
-# paused.
-PROCESS_PAUSE_S = 0.4
 
 # A third of the ping interval; checks at each tick would cost more than pings.
 CHECK_INTERVAL_S = 0.1
@@ -68,7 +65,6 @@
     def __init__(self) -> None:
         """Starts without peers."""
         self._peers: dict[str, _PeerTimes] = {}
-        self._last_tick_s: float | None = None
         self._next_check_s = _NEVER_S
 
     def connected(self, name: str, now_s: float) -> None:
@@ -100,6 +96,18 @@
         if times is not None:
             times.sent_s = now_s
 
+    def resumed(self, now_s: float) -> None:
+        """Restarts the time-outs after a pause of this process.
+
+        Explanation:
+            The messages that the peers sent meanwhile are still unread.
+
+        Args:
+            now_s: The process's clock.
+        """
+        for times in self._peers.values():
+            times.received_s = now_s
+
     def tick(
         self,
         now_s: float,
@@ -115,7 +123,6 @@
         Returns:
             Names of the peers to ping, and the peers that timed out.
         """
-        self._ignore_own_pause(now_s)
         due: list[str] = []
         silent: list[SilentPeer] = []
         if now_s < self._next_check_s:
@@ -135,16 +142,6 @@
                 due.append(name)
         return due, silent
 
-    def _ignore_own_pause(self, now_s: float) -> None:
-        # After a pause of this process the peers' messages are still unread,
-        # so their timeouts are restarted.
-        last_tick_s = self._last_tick_s
-        self._last_tick_s = now_s
-        if last_tick_s is None or now_s - last_tick_s < PROCESS_PAUSE_S:
-            return
-        for times in self._peers.values():
-            times.received_s = now_s
-
 
 def _is_silent(times: _PeerTimes, now_s: float) -> bool:
     if now_s - times.received_s > IDLE_TIMEOUT_S:
--- a/packages/core/cactushead_core/discovery/tests/test_discovery.py
+++ b/packages/core/cactushead_core/discovery/tests/test_discovery.py
@@ -11,7 +11,15 @@
     MemberAddresses,
 )
 from cactushead_core.effects import Send
-from cactushead_core.events import Peer, PeerRole
+from cactushead_core.events import (
+    Peer,
+    PeerConnected,
+    PeerRole,
+    Tick,
+    TurnEnded,
+)
+from cactushead_core.leasing import LeasingAgent
+from cactushead_core.leasing.settings import LeasingSettings
 
 ENTRY, AGENT = PeerRole.ENTRY, PeerRole.AGENT
 SEEDS = (Endpoint('h1', 7), Endpoint('h2', 7))
@@ -164,11 +172,15 @@
     assert dropped == ['e2']
 
 
-def test_process_drops_no_peers_after_its_own_pause():
-    discovery = Discovery(member('e1'), ())
-    link(discovery, 'e2', 1.0)
-    tick_effects(discovery, 1.05)
-    effects = tick_effects(discovery, 5.0)
+# Guards against a process that takes its own pause for the silence of others,
+# whichever event it handles first when it goes on.
+@pytest.mark.parametrize('first', [Tick, TurnEnded])
+def test_process_drops_no_peers_after_its_own_pause(first):
+    discovery = Discovery(member('a1', AGENT), ())
+    agent = LeasingAgent(LeasingSettings('a1', 1.0, 1), discovery)
+    agent.reduce(PeerConnected(1.0, peer('e2')))
+    agent.reduce(Tick(1.05))
+    effects = [*agent.reduce(first(5.0)), *agent.reduce(Tick(5.01))]
     assert not any(isinstance(one, DropPeer) for one in effects)
 
 
--- a/packages/core/cactushead_core/dispatch/settings.py
+++ b/packages/core/cactushead_core/dispatch/settings.py
@@ -44,8 +44,10 @@
         Explanation:
             The sum of the time in which the agent detects the loss, its
             grace period for the owner, and the longest lease, corrected for
-            clock drift. If the agent can't stop the runs, their leases
-            expire by then.
+            clock drift. After the first two the agent starts no queued run
+            and renews no lease for the owner, whether it was paused or not
+            (`LeasingSettings.owner_silence_s`). If the upstream doesn't
+            answer its stop calls, the leases expire by then.
         """
         longest_s = self.lease_s * (1 + self.drift) / (1 - self.drift)
         return self.link_timeout_s + self.owner_grace_s + longest_s
--- a/packages/core/cactushead_core/entry/node.py
+++ b/packages/core/cactushead_core/entry/node.py
@@ -87,6 +87,7 @@
             stored: Contents of the disk; empty for an entry without a disk.
             now_s: Monotonic clock.
         """
+        super().__init__()
         self.config = config
         self.applied_log = AppliedLog()
         self.gateway = Gateway(config)
--- a/packages/core/cactushead_core/events.py
+++ b/packages/core/cactushead_core/events.py
@@ -58,6 +58,17 @@
     """All pending events of an event-loop turn are reduced; send batches."""
 
 
+@dataclass(frozen=True, slots=True)
+class ProcessResumed(Event):
+    """The process was paused; precedes the next event.
+
+    Attributes:
+        paused_s: Time of the last event before the pause.
+    """
+
+    paused_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class DrainRequested(Event):
     """The operator or platform asks the process to stop gracefully."""
--- a/packages/core/cactushead_core/fleet/entry.py
+++ b/packages/core/cactushead_core/fleet/entry.py
@@ -35,6 +35,7 @@
     PeerConnected,
     PeerLost,
     PeerRole,
+    ProcessResumed,
     Tick,
     TurnEnded,
 )
@@ -82,6 +83,7 @@
             file_format: Decoder of configurations.
             now_s: The process's clock.
         """
+        super().__init__()
         name = settings.own.name
         self.settings = settings
         self.configuration = ConfigurationManager(name, file_format)
@@ -166,6 +168,8 @@
                 self.evacuations.requested(event, self.leader, effects)
             case Tick():
                 self._on_tick(event, effects)
+            case ProcessResumed():
+                self.discovery.resumed(now_s)
             case PeerConnected():
                 self._on_peer_connected(event, effects)
             case PeerLost():
--- a/packages/core/cactushead_core/fleet/tests/simulation.py
+++ b/packages/core/cactushead_core/fleet/tests/simulation.py
@@ -435,12 +435,7 @@
             case Dial():
                 self._schedule(DELAY_S, lambda: self._dial(process, effect))
             case DropPeer():
-                for link in self._links_of(process.member.name, effect.name):
-                    self._delayed.pop(link, None)
-                self._disconnect(process, effect.name)
-                self._disconnect(
-                    self.processes[effect.name], process.member.name
-                )
+                self._close_link(process, self.processes[effect.name])
             case fx.AppendLog() | fx.SaveVote() | fx.SaveSnapshot():
                 start_count = process.start_count
                 self._schedule(
@@ -484,6 +479,7 @@
             return
         if effect.host in process.peers:
             return
+        self._close_link(process, target)
         for one, other in ((process, target), (target, process)):
             one.peers[other.member.name] = other.start_count
         for one, other in ((process, target), (target, process)):
@@ -493,6 +489,19 @@
                 lambda now_s, peer=peer: PeerConnected(now_s, peer),
             )
 
+    def _close_link(self, process: Process, target: Process) -> None:
+        """Closes a link; the other side learns it after a partition."""
+        name, other = process.member.name, target.member.name
+        for link in ((name, other), (other, name)):
+            self._delayed.pop(link, None)
+        self._disconnect(process, other)
+        if (name, other) in self.blocked_links:
+            self._delayed[(name, other)] = [
+                lambda: self._disconnect(target, name)
+            ]
+        else:
+            self._disconnect(target, name)
+
     def _disconnect(self, process: Process, name: str) -> None:
         start_count = process.peers.pop(name, None)
         if start_count is None:
@@ -533,9 +542,6 @@
             lambda now_s: replace(event, now_s=now_s),
         )
 
-    def _links_of(self, one: str, other: str) -> list[tuple[str, str]]:
-        return [(one, other), (other, one)]
-
     def _call(
         self,
         process: Process,
@@ -561,7 +567,7 @@
             return
         wait_s = CALL_S
         if isinstance(call, RenewLeases):
-            wait_s = self._time_to_end(upstream, call.wait_s)
+            wait_s = self._time_to_end(upstream, call)
         self._schedule(
             wait_s,
             lambda: self._deliver_answer(
@@ -578,12 +584,15 @@
             # answered.
             upstream.renew(replace(call, acknowledged=0), sent_s, self.now_s)
 
-    def _time_to_end(self, upstream: FakeUpstream, wait_s: float) -> float:
+    def _time_to_end(self, upstream: FakeUpstream, call: RenewLeases) -> float:
+        """Returns how long a renewal waits: until there is an end to list."""
+        if upstream.has_ends_after(call.acknowledged):
+            return CALL_S
         ends = [
             fake_run.ends_s - self.now_s
             for fake_run in upstream.running.values()
         ]
-        return max(min([wait_s, *ends]), CALL_S)
+        return max(min([call.wait_s, *ends]), CALL_S)
 
     def _deliver_answer(
         self, process: Process, start_count: int, event: Event
--- a/packages/core/cactushead_core/fleet/tests/upstream.py
+++ b/packages/core/cactushead_core/fleet/tests/upstream.py
@@ -273,6 +273,14 @@
             tuple(self._ends),
         )
 
+    def has_ends_after(self, acknowledged: int) -> bool:
+        """Whether it has run ends to list.
+
+        Args:
+            acknowledged: Number of the newest end that is forgotten.
+        """
+        return any(row.number > acknowledged for row in self._ends)
+
     def _crash_by_task(self, now_s: float) -> None:
         if self.lists_crashes:
             for task in list(self.running):
--- a/packages/core/cactushead_core/leasing/lease_manager.py
+++ b/packages/core/cactushead_core/leasing/lease_manager.py
@@ -1,7 +1,7 @@
 """Queues, starts, renews and stops the runs at an agent's upstream."""
 
 from ..effects import Count, Effect, Record
-from ..events import Peer
+from ..events import Peer, ProcessResumed
 from ..tasks import OfferTasks, RunEnd, TaskRef, TaskRun
 from .calls import UpstreamCalls
 from .crashes import CrashReporter
@@ -17,6 +17,7 @@
 from .model import Heartbeat, StartAnswer, UpstreamIdentity
 from .outbox import Outbox
 from .owners import Owners
+from .ownership import OwnershipTimes
 from .reconciler import RunReconciler
 from .renewals import Renewals
 from .runs import LeasedRun, Phase, RunTable, run_record
@@ -81,7 +82,8 @@
             self.runs,
             self._tracker,
             self._stop_calls,
-            settings.owner_grace_s,
+            self._sessions,
+            OwnershipTimes(settings.owner_silence_s, settings.owner_grace_s),
         )
 
     @property
@@ -140,6 +142,7 @@
         if not self._sessions.accept_offer(sender, offer.session, offer.number):
             effects.append(Count('offers', 'earlier session'))
             return
+        self._owners.offered(sender, now_s)
         for task_run in offer.runs:
             run = _make_run(sender, offer, task_run, now_s)
             rejection = self._find_rejection(run)
@@ -195,6 +198,10 @@
             Record('session renewed', subject=peer.name, logged=True),
         )
 
+    def entry_heard(self, peer: Peer, now_s: float) -> None:
+        """Records that an entry has sent a message."""
+        self._owners.heard(peer, now_s)
+
     def entry_lost(self, peer: Peer, now_s: float) -> None:
         """Starts the grace period of a disconnected entry's runs."""
         self._sessions.disconnected(peer)
@@ -275,12 +282,24 @@
 
     # Timers.
 
+    def resumed(self, event: ProcessResumed) -> None:
+        """Records a pause of this process."""
+        self._owners.resumed(event)
+
+    def expire_owners(self, now_s: float, effects: list[Effect]) -> None:
+        """Drops the runs whose owners may have placed them elsewhere.
+
+        Args:
+            now_s: The agent's clock.
+            effects: List to which effects are appended.
+        """
+        self._owners.expire(now_s, effects)
+
     def tick(self, now_s: float, effects: list[Effect]) -> None:
-        """Renews leases, repeats stop calls and expires lost owners."""
+        """Renews leases and repeats stop calls."""
         self._renewals.renew_if_due(now_s, effects)
         self._stop_calls.stop_unconfirmed(self.runs, now_s)
         self._stop_calls.call_all_due(self.runs, self.upstream, now_s, effects)
-        self._owners.tick(now_s, effects)
 
     def end_turn(self, now_s: float, effects: list[Effect]) -> None:
         """Starts queued runs that fit and sends results and reports."""
--- a/packages/core/cactushead_core/leasing/node.py
+++ b/packages/core/cactushead_core/leasing/node.py
@@ -15,6 +15,7 @@
     MessageReceived,
     PeerConnected,
     PeerLost,
+    ProcessResumed,
     Tick,
     TurnEnded,
 )
@@ -46,6 +47,7 @@
             settings: Settings.
             discovery: Links to the entries.
         """
+        super().__init__()
         self.settings = settings
         self.discovery = discovery
         self.manager = LeaseManager(settings)
@@ -61,8 +63,17 @@
         )
 
     def _reduce(self, event: Event, effects: list[Effect]) -> None:
+        # Before any event can start or renew a run whose owner has given it up.
+        self.manager.expire_owners(event.now_s, effects)
+        self._handle(event, effects)
+        self.discovery.record_sends(effects, event.now_s)
+
+    def _handle(self, event: Event, effects: list[Effect]) -> None:
         manager = self.manager
         match event:
+            case ProcessResumed():
+                self.discovery.resumed(event.now_s)
+                manager.resumed(event)
             case MessageReceived():
                 self._on_message(event, effects)
             case HeartbeatReceived():
@@ -89,7 +100,6 @@
                 self._on_drain_requested(event, effects)
             case TurnEnded():
                 manager.end_turn(event.now_s, effects)
-        self.discovery.record_sends(effects, event.now_s)
 
     def _on_message(
         self,
@@ -98,6 +108,7 @@
     ) -> None:
         if self.discovery.message_received(event.sender.name, event.now_s):
             self.manager.renew_session(event.sender, effects)
+        self.manager.entry_heard(event.sender, event.now_s)
         message = event.message
         match message:
             case OfferTasks():
--- a/packages/core/cactushead_core/leasing/owners.py
+++ b/packages/core/cactushead_core/leasing/owners.py
@@ -1,15 +1,17 @@
 """Runs of the entries that own them: cancelled jobs and lost entries."""
 
 from ..effects import Effect, Record
-from ..events import Peer
+from ..events import Peer, ProcessResumed
 from ..tasks import RunEnd
+from .ownership import OwnershipTimes
 from .runs import LeasedRun, Phase, RunTable
+from .sessions import Sessions
 from .stop_calls import StopCalls
 from .upstream_tracker import UpstreamTracker
 
 
 class Owners:
-    """Stops the runs of jobs that are cancelled and of entries that are lost.
+    """Drops the runs of jobs that are cancelled and of entries that are lost.
 
     Explanation:
         The runs of a disconnected entry continue for a grace period, unless
@@ -21,7 +23,8 @@
         runs: RunTable,
         tracker: UpstreamTracker,
         stop_calls: StopCalls,
-        grace_s: float,
+        sessions: Sessions,
+        times: OwnershipTimes,
     ) -> None:
         """Shares the state of the agent.
 
@@ -29,13 +32,14 @@
             runs: Its runs.
             tracker: The current incarnation of its upstream.
             stop_calls: Its stop calls.
-            grace_s: How long the runs of a disconnected entry continue.
+            sessions: Its sessions with entries.
+            times: When the claims of owners lapse.
         """
         self._runs = runs
         self._tracker = tracker
         self._stop_calls = stop_calls
-        self._grace_s = grace_s
-        self._lost_until_s: dict[Peer, float] = {}
+        self._sessions = sessions
+        self._times = times
 
     def connected(
         self,
@@ -44,15 +48,27 @@
         effects: list[Effect],
     ) -> None:
         """Keeps the runs of an entry; stops those of earlier incarnations."""
-        self._lost_until_s.pop(peer, None)
-        for owner in list(self._lost_until_s):
-            if owner.name == peer.name:
+        self._times.heard(peer, now_s)
+        for owner in self._times:
+            if owner.name == peer.name and owner != peer:
+                self._times.remove(owner)
                 self._drop(owner, now_s, effects)
 
     def disconnected(self, peer: Peer, now_s: float) -> None:
         """Starts the grace period of an entry's runs."""
-        if self._runs.of_owner(peer):
-            self._lost_until_s[peer] = now_s + self._grace_s
+        self._times.disconnected(peer, now_s)
+
+    def offered(self, owner: Peer, now_s: float) -> None:
+        """Records that an entry has offered runs."""
+        self._times.add(owner, now_s)
+
+    def heard(self, peer: Peer, now_s: float) -> None:
+        """Records that an entry has sent a message."""
+        self._times.heard(peer, now_s)
+
+    def resumed(self, event: ProcessResumed) -> None:
+        """Records a pause of this process."""
+        self._times.resumed(event.paused_s, event.now_s)
 
     def cancel_job(
         self,
@@ -66,11 +82,21 @@
             if run.task.job == job:
                 self._cancel(run, 'withdrawn', now_s, effects)
 
-    def tick(self, now_s: float, effects: list[Effect]) -> None:
-        """Stops the runs of the entries whose grace period has ended."""
-        for owner, until_s in list(self._lost_until_s.items()):
-            if now_s >= until_s:
+    def expire(self, now_s: float, effects: list[Effect]) -> None:
+        """Drops the runs whose owners may have placed them elsewhere.
+
+        Explanation:
+            An owner that is still connected gets a new report, so that it
+            places the dropped tasks again, and its unread offers don't count.
+
+        Args:
+            now_s: The agent's clock.
+            effects: List to which effects are appended.
+        """
+        for owner in self._times.lapsed(now_s):
+            if self._runs.of_owner(owner):
                 self._drop(owner, now_s, effects)
+                self._sessions.renew(owner)
 
     def _drop(
         self,
@@ -78,7 +104,6 @@
         now_s: float,
         effects: list[Effect],
     ) -> None:
-        self._lost_until_s.pop(owner, None)
         runs = self._runs.of_owner(owner)
         effects.append(
             Record(
--- a/packages/core/cactushead_core/leasing/settings.py
+++ b/packages/core/cactushead_core/leasing/settings.py
@@ -17,6 +17,8 @@
         min_renewal_interval_s: Minimum interval to the next renewal if the last
             one listed no new end; half of the wait.
         retry_s: Pause after a failed call; a tenth of the lease.
+        link_timeout_s: Time without received data after which either end of
+            a link closes it.
         owner_grace_s: How long the runs of a disconnected owner continue; a
             reconnect takes less time, and a caller's resend more.
         idle_list_interval_s: Interval at which the runs are listed while none
@@ -35,7 +37,19 @@
     renew_wait_s: float = 0.25
     min_renewal_interval_s: float = 0.12
     retry_s: float = 0.1
+    link_timeout_s: float = 1.0
     owner_grace_s: float = 0.5
     idle_list_interval_s: float = 1.0
     load_interval_s: float = 0.1
     claims: bool = False
+
+    @property
+    def owner_silence_s(self) -> float:
+        """Time after the newest sign of an owner when its runs are dropped.
+
+        Explanation:
+            The owner counts the same time, and the longest lease, from the
+            loss of the link until it places the tasks elsewhere
+            (`DispatchSettings.agent_removal_s`).
+        """
+        return self.link_timeout_s + self.owner_grace_s
--- a/packages/node/cactushead_node/tests/test_runtime.py
+++ b/packages/node/cactushead_node/tests/test_runtime.py
@@ -28,6 +28,7 @@
     """Returns given effects for each event type and records the events."""
 
     def __init__(self, script):
+        super().__init__()
         self.script = script
         self.events = []
 
