Follow another upstream only when the known one is gone

Cause: the newest heartbeat was taken for the newest upstream, and its arrival for the end of the one before. A check of the service, as the claim suggests, would need the configuration in the agents and leave four more paths: the known id with a later start or another address, a late deregistration, a foreign heartbeat before the first real one after an agent's restart, and one with a late start, which makes those of the real upstream old.

Change: a heartbeat that doesn't describe the known incarnation is kept as that of a possible successor, and the known upstream is asked at once. It is given up only when its address refuses the connection or belongs to another id, its list names another start, or it is silent until its leases have lapsed. A deregistration counts as draining. An upstream that never listed its runs proves nothing about those of an earlier incarnation of the agent.

The simulated upstream refuses calls to other addresses and ids, as a real one does; before it answered all of them.

--- a/packages/core/cactushead_core/fleet/tests/simulation.py
+++ b/packages/core/cactushead_core/fleet/tests/simulation.py
@@ -557,9 +557,11 @@
             self._schedule(
                 late_s, lambda: _execute_call(upstream, call, 0, self.now_s)
             )
-        if late_s is not None or upstream.down:
-            failed = _failed_call_event(call, refused=upstream.down)
-            delay_s = CALL_S if upstream.down else CALL_TIMEOUT_S
+        silent = call.address in upstream.silent_addresses
+        refused = not silent and not upstream.accepts(call)
+        if late_s is not None or silent or refused:
+            failed = _failed_call_event(call, refused=refused)
+            delay_s = CALL_S if refused else CALL_TIMEOUT_S
             self._schedule(
                 delay_s,
                 lambda: self._deliver_answer(process, start_count, failed),
@@ -627,7 +629,7 @@
     sent_s: float,
     now_s: float,
 ) -> Event:
-    if upstream.down:
+    if not upstream.accepts(call):
         return _failed_call_event(call, refused=True)
     if isinstance(call, StartLeased):
         return upstream.start(call, now_s)
--- a/packages/core/cactushead_core/fleet/tests/upstream.py
+++ b/packages/core/cactushead_core/fleet/tests/upstream.py
@@ -78,6 +78,8 @@
 
     Attributes:
         running: Its active runs.
+        address: Address at which it accepts calls.
+        silent_addresses: Addresses that accept calls and answer none.
         down: Whether it has crashed.
         lists_crashes: Whether what lists the runs outlives a crash.
     """
@@ -98,6 +100,8 @@
             history: Shared with the other fake upstreams.
         """
         self.name = name
+        self.address = f'{name}:1'
+        self.silent_addresses: set[str] = set()
         self.capacity = capacity
         self.run_s = run_s
         self.history = history
@@ -121,7 +125,15 @@
         """Its current incarnation."""
         return UpstreamIdentity(self.name, self.started_ms)
 
-    def heartbeat(self, now_s: float, service: str) -> Event:
+    def accepts(self, call: StartLeased | StopLeased | RenewLeases) -> bool:
+        """Whether a call is for this upstream and reaches it."""
+        return (
+            not self.down
+            and call.address == self.address
+            and call.upstream.upstream == self.name
+        )
+
+    def heartbeat(self, now_s: float, service: str) -> HeartbeatReceived:
         """Returns its next heartbeat."""
         self._sequence += 1
         state = (
@@ -136,7 +148,7 @@
                 state,
                 self.capacity,
                 (),
-                f'{self.name}:1',
+                self.address,
                 self._clock_ms(now_s),
             ),
         )
--- a/packages/core/cactushead_core/leasing/incarnations.py
+++ b/packages/core/cactushead_core/leasing/incarnations.py
@@ -1,6 +1,8 @@
 """Begins and ends incarnations of an agent's upstream."""
 
-from ..effects import Effect, Record
+from dataclasses import replace
+
+from ..effects import Count, Effect, Record
 from ..tasks import RunEnd
 from .calls import UpstreamCalls
 from .crashes import CrashReporter
@@ -17,6 +19,14 @@
 class Incarnations:
     """Follows the upstream through heartbeats, restarts and crashes.
 
+    Explanation:
+        Anyone may send a heartbeat, and one may be late. So a heartbeat of
+        another incarnation doesn't show that the known one has ended. Only the
+        upstream itself does, or its leases: its address refuses connections or
+        belongs to another incarnation, its list names a later start, or it is
+        silent until all leases have lapsed. Until then the heartbeat is kept as
+        that of a possible successor.
+
     Attributes:
         draining: Whether the agent accepts no more tasks.
         evacuated: Whether the agent's data centre is evacuated.
@@ -51,6 +61,12 @@
         self._reconciler = reconciler
         self._outbox = outbox
         self._crash_reporter = crash_reporter
+        self._successor: HeartbeatReceived | None = None
+
+    @property
+    def has_successor(self) -> bool:
+        """Whether another incarnation has sent a heartbeat."""
+        return self._successor is not None
 
     @property
     def ready(self) -> bool:
@@ -65,49 +81,60 @@
         self,
         event: HeartbeatReceived,
         effects: list[Effect],
-    ) -> None:
-        """Processes a heartbeat; one older than the known one is ignored."""
+    ) -> bool:
+        """Processes a heartbeat; one older than the known one is ignored.
+
+        Returns:
+            Whether the known upstream has to be asked if it still runs.
+        """
         heartbeat = event.heartbeat
         known = self._tracker.upstream
+        if known is None:
+            self._begin(event, effects)
+            return False
         if not self._tracker.is_newer(heartbeat):
-            return
-        if known is None or known.identity != heartbeat.identity:
-            self._begin(heartbeat, event.now_s, effects)
-        self._tracker.upstream = heartbeat
-        if not self._calls.clock.known:
-            self._calls.clock.observe(heartbeat.clock_ms, event.now_s)
-        if known is not None and _differs(known, heartbeat):
-            for run in self._runs.oversized(heartbeat.capacity):
-                self._outbox.finish(
-                    run, RunEnd.RETURNED, event.now_s, TOO_LARGE
-                )
-            self.report_change(event.now_s)
+            return False
+        if self._tracker.is_described_by(heartbeat):
+            self._update(known, event)
+            return False
+        return self._keep_successor(known, event, effects)
 
-    def deregistered(
-        self, event: UpstreamDeregistered, effects: list[Effect]
-    ) -> None:
-        """Ends all runs when the upstream announces its shutdown."""
-        if self._is_current(event.upstream):
-            self.end('upstream left', event.now_s, effects, crashed=False)
+    def deregistered(self, event: UpstreamDeregistered) -> bool:
+        """Returns the queued tasks when the upstream announces its shutdown.
+
+        Explanation:
+            The call may be a late one of an earlier incarnation with the same
+            id, so the runs end only when the upstream is gone.
+
+        Returns:
+            Whether the upstream has to be asked if it still runs.
+        """
+        known = self._tracker.upstream
+        if known is None or known.identity.upstream != event.upstream:
+            return False
+        self._tracker.upstream = replace(known, state=UpstreamState.DRAINING)
+        self.report_change(event.now_s)
+        return True
 
     def adopt(
         self,
         identity: UpstreamIdentity,
         effects: list[Effect],
     ) -> bool:
-        """Switches to a newer incarnation of the upstream with the same id.
+        """Switches to the incarnation of the upstream that has answered.
 
         Explanation:
             Start calls in flight may be executed by the new incarnation, so
             its next list decides which runs are lost.
 
         Returns:
-            Whether it is newer than the known one.
+            Whether it is another one than the known one.
         """
         known = self._tracker.upstream
         if known is None or not self._tracker.update_incarnation(identity):
             return False
-        self._reconciler.crashed = known.identity
+        if self._tracker.answered:
+            self._reconciler.crashed = known.identity
         effects.append(
             Record(
                 'upstream restarted',
@@ -117,24 +144,23 @@
             ),
         )
         self._calls.reset()
+        successor = self._successor
+        if successor and self._tracker.is_described_by(successor.heartbeat):
+            self._successor = None
+            self._tracker.upstream = successor.heartbeat
         return True
 
-    def end(
-        self,
-        cause: str,
-        now_s: float,
-        effects: list[Effect],
-        *,
-        crashed: bool = True,
-    ) -> None:
+    def end(self, cause: str, now_s: float, effects: list[Effect]) -> None:
         """Ends all runs, since the upstream incarnation ended.
 
+        Explanation:
+            An upstream that was draining has announced its end; any other one
+            has crashed. A possible successor becomes the upstream.
+
         Args:
             cause: Short text for logs.
             now_s: The agent's clock.
             effects: List to which effects are appended.
-            crashed: Whether the upstream did not announce its end; one that
-                was draining has announced it.
         """
         known = self._tracker.upstream
         effects.append(
@@ -145,7 +171,8 @@
                 logged=True,
             ),
         )
-        if known is not None and known.state is UpstreamState.READY and crashed:
+        ready = known is not None and known.state is UpstreamState.READY
+        if ready and self._tracker.reconciled:
             self._crash_reporter.crashed(
                 known.identity,
                 self._runs.at_upstream(),
@@ -157,6 +184,8 @@
         self._tracker.mark_gone()
         self._calls.renewal_pending = False
         self.report_change(now_s)
+        if self._successor is not None:
+            self._begin(self._successor, effects)
 
     def finish_all(self, end: RunEnd, cause: str, now_s: float) -> None:
         """Ends all runs at the upstream.
@@ -176,17 +205,8 @@
                 self._outbox.finish(run, RunEnd.RETURNED, now_s, 'not ready')
         self.report_due = True
 
-    def _begin(
-        self,
-        heartbeat: Heartbeat,
-        now_s: float,
-        effects: list[Effect],
-    ) -> None:
-        if self._tracker.matches(heartbeat.identity):
-            self.adopt(heartbeat.identity, effects)
-            return
-        if self._tracker.upstream is not None:
-            self.end('another upstream', now_s, effects)
+    def _begin(self, event: HeartbeatReceived, effects: list[Effect]) -> None:
+        heartbeat = event.heartbeat
         effects.append(
             Record(
                 'upstream announced',
@@ -195,13 +215,74 @@
                 logged=True,
             ),
         )
-        self._tracker.track_new()
+        self._successor = None
+        self._tracker.track_new(heartbeat)
         self._calls.reset()
-        self._calls.next_renewal_s = now_s
+        self._calls.next_renewal_s = event.now_s
+        self._calls.clock.observe(heartbeat.clock_ms, event.now_s)
 
-    def _is_current(self, upstream: str) -> bool:
-        known = self._tracker.upstream
-        return known is not None and known.identity.upstream == upstream
+    def _update(self, known: Heartbeat, event: HeartbeatReceived) -> None:
+        heartbeat = event.heartbeat
+        self._tracker.upstream = heartbeat
+        successor = self._successor
+        if successor and successor.heartbeat.identity == heartbeat.identity:
+            self._successor = None
+        if not self._calls.clock.known:
+            self._calls.clock.observe(heartbeat.clock_ms, event.now_s)
+        if _differs(known, heartbeat):
+            for run in self._runs.oversized(heartbeat.capacity):
+                self._outbox.finish(
+                    run, RunEnd.RETURNED, event.now_s, TOO_LARGE
+                )
+            self.report_change(event.now_s)
+
+    def _keep_successor(
+        self,
+        known: Heartbeat,
+        event: HeartbeatReceived,
+        effects: list[Effect],
+    ) -> bool:
+        """Keeps a heartbeat that doesn't describe the known upstream.
+
+        Explanation:
+            If the known incarnation itself is described in another way twice in
+            a row, the first description was wrong.
+
+        Returns:
+            Whether the known upstream has to be asked if it still runs.
+        """
+        heartbeat = event.heartbeat
+        earlier = self._successor
+        self._successor = event
+        if earlier is None or not _is_same(earlier.heartbeat, heartbeat):
+            effects.extend(
+                (
+                    Count('heartbeats', 'unconfirmed'),
+                    Record(
+                        'heartbeat unconfirmed',
+                        subject=heartbeat.identity.upstream,
+                        detail=f'{heartbeat.service} {heartbeat.address};'
+                        f' {known.identity.upstream} is known',
+                        logged=True,
+                    ),
+                )
+            )
+        elif (heartbeat.identity, heartbeat.address) == (
+            known.identity,
+            known.address,
+        ) and heartbeat.sequence > earlier.heartbeat.sequence:
+            self._update(known, event)
+            return False
+        return True
+
+
+def _is_same(one: Heartbeat, other: Heartbeat) -> bool:
+    """Whether two heartbeats describe the same incarnation in the same way."""
+    return (one.identity, one.service, one.address) == (
+        other.identity,
+        other.service,
+        other.address,
+    )
 
 
 def _differs(known: Heartbeat, heartbeat: Heartbeat) -> bool:
--- a/packages/core/cactushead_core/leasing/lease_manager.py
+++ b/packages/core/cactushead_core/leasing/lease_manager.py
@@ -114,13 +114,15 @@
         effects: list[Effect],
     ) -> None:
         """Processes a heartbeat; one older than the known one is ignored."""
-        self._incarnations.heartbeat_received(event, effects)
+        if self._incarnations.heartbeat_received(event, effects):
+            self._renewals.renew_now(event.now_s, effects)
 
     def deregistered(
         self, event: UpstreamDeregistered, effects: list[Effect]
     ) -> None:
-        """Ends all runs when the upstream announces its shutdown."""
-        self._incarnations.deregistered(event, effects)
+        """Returns the queued tasks when the upstream announces its shutdown."""
+        if self._incarnations.deregistered(event):
+            self._renewals.renew_now(event.now_s, effects)
 
     # Messages and connections of entries.
 
--- a/packages/core/cactushead_core/leasing/renewals.py
+++ b/packages/core/cactushead_core/leasing/renewals.py
@@ -60,6 +60,7 @@
             return
         if self._incarnations.adopt(event.upstream, effects):
             self._incarnations.report_change(event.now_s)
+        self._tracker.answered = True
         if self._reconciler.crashed is None:
             self._crash_reporter.answered()
         self._calls.clock.observe(event.clock_ms, event.now_s)
@@ -108,6 +109,8 @@
             self._incarnations.finish_all(
                 RunEnd.LEASE_EXPIRED, 'lease lapsed', event.now_s
             )
+            if self._incarnations.has_successor and not first:
+                self._incarnations.end('silent', event.now_s, effects)
         self.renew_if_due(event.now_s, effects)
 
     def renew_now(self, now_s: float, effects: list[Effect]) -> None:
--- a/packages/core/cactushead_core/leasing/upstream_tracker.py
+++ b/packages/core/cactushead_core/leasing/upstream_tracker.py
@@ -15,6 +15,7 @@
         upstream: Its newest heartbeat, None without an upstream.
         reconciled: Whether a list of its runs contained only runs that the
             agent knows.
+        answered: Whether it has listed its runs.
     """
 
     def __init__(self, longest_lease_s: float) -> None:
@@ -26,7 +27,8 @@
         """
         self.upstream: Heartbeat | None = None
         self.reconciled = False
-        self._upstream_gone = False
+        self.answered = False
+        self._earlier_runs_ended = False
         self._longest_lease_s = longest_lease_s
         self._first_checked_s: float | None = None
 
@@ -46,13 +48,42 @@
         )
 
     def is_newer(self, heartbeat: Heartbeat) -> bool:
-        """Whether a heartbeat is newer than the known one."""
+        """Whether a heartbeat is newer than the known one.
+
+        Explanation:
+            An upstream that has not answered yet may not exist, so it makes no
+            other one old. Heartbeats that describe one incarnation differently
+            are from two writers, whose numbers can't be compared.
+        """
         known = self.upstream
         if known is None:
             return True
         if heartbeat.identity == known.identity:
-            return heartbeat.sequence > known.sequence
-        return heartbeat.identity.started_ms > known.identity.started_ms
+            return (
+                heartbeat.sequence > known.sequence
+                or not self.is_described_by(heartbeat)
+            )
+        return (
+            not self.answered
+            or heartbeat.identity.started_ms > known.identity.started_ms
+        )
+
+    def is_described_by(self, heartbeat: Heartbeat) -> bool:
+        """Whether a heartbeat is one of the known incarnation.
+
+        Explanation:
+            An incarnation keeps its address and its service. The service of
+            one that has sent no heartbeat is that of the one before it.
+        """
+        known = self.upstream
+        if known is None or heartbeat.identity != known.identity:
+            return False
+        if known.sequence == NO_HEARTBEAT:
+            return heartbeat.address == known.address
+        return (heartbeat.address, heartbeat.service) == (
+            known.address,
+            known.service,
+        )
 
     def matches(self, identity: UpstreamIdentity) -> bool:
         """Whether an answer is from this upstream, in any incarnation."""
@@ -69,34 +100,54 @@
         """
         if self._first_checked_s is None:
             self._first_checked_s = now_s
-        if self.reconciled or self._upstream_gone:
+        if self.reconciled:
             return True
         if self.upstream is not None:
             return False
-        return now_s - self._first_checked_s > self._longest_lease_s
+        return (
+            self._earlier_runs_ended
+            or now_s - self._first_checked_s > self._longest_lease_s
+        )
+
+    def track_new(self, heartbeat: Heartbeat) -> None:
+        """Switches to a new upstream, whose list of runs is awaited.
 
-    def track_new(self) -> None:
-        """Requires reconciliation with a new upstream's run list."""
+        Args:
+            heartbeat: Its heartbeat.
+        """
+        self.upstream = heartbeat
         self.reconciled = False
-        self._upstream_gone = False
+        self.answered = False
 
     def update_incarnation(self, identity: UpstreamIdentity) -> bool:
-        """Switches to a newer incarnation with the same id.
+        """Switches to another incarnation with the same id.
+
+        Explanation:
+            Only the first answer may be from an earlier one: the heartbeat was
+            then not the upstream's.
 
         Args:
             identity: Incarnation that answered.
 
         Returns:
-            Whether it is newer than the known one.
+            Whether it is another one than the known one.
         """
         known = self.upstream
-        if known is None or known.identity.started_ms >= identity.started_ms:
+        if known is None or known.identity == identity:
+            return False
+        if self.answered and identity.started_ms < known.identity.started_ms:
             return False
         self.upstream = replace(known, identity=identity, sequence=NO_HEARTBEAT)
         return True
 
     def mark_gone(self) -> None:
-        """Records that the upstream and its runs are gone."""
+        """Records that the upstream and its runs are gone.
+
+        Explanation:
+            Of an upstream that has listed no runs it isn't known whether it
+            was the one that has those of an earlier incarnation of the agent.
+        """
+        self._earlier_runs_ended = self._earlier_runs_ended or self.reconciled
         self.upstream = None
         self.reconciled = False
-        self._upstream_gone = True
+        self.answered = False
