Check what an agent reads before it is used

Operators of similar systems met machines that end again and again, or stop following a list, because of one odd entry from another writer. Tried here, it can happen: an agent loses its upstream to a heartbeat with a port or an address out of range, ends at one with digits of another script or with half of a surrogate pair, learns no end any more while one row of a list is nested too deeply or has a number that can't be read, and ends at a task name with too many digits.

Cause: the decoders checked the type of a value and few bounds, a list was one message to them, and an error in one call to the upstream ended the process.

Change: `load_json` reports half of a surrogate pair. An error in a call ends that call, with a log line, as one whose outcome is unknown.

--- a/packages/core/cactushead_core/leasing/__init__.py
+++ b/packages/core/cactushead_core/leasing/__init__.py
@@ -1,6 +1,6 @@
 """Tasks that run at an upstream under a lease that its agent renews."""
 
-from .effects import RenewLeases, StartLeased, StopLeased
+from .effects import RenewLeases, StartLeased, StopLeased, UpstreamCall
 from .events import (
     HeartbeatReceived,
     LeasesRenewed,
@@ -31,6 +31,7 @@
     'StopCallCompleted',
     'StopLeased',
     'HeartbeatReceived',
+    'UpstreamCall',
     'UpstreamIdentity',
     'UpstreamDeregistered',
     'UpstreamState',
--- a/packages/core/cactushead_core/validation/__init__.py
+++ b/packages/core/cactushead_core/validation/__init__.py
@@ -7,6 +7,7 @@
 
 from .fields import FieldReader
 from .strict_json import LoadedJson, child_place, item_place, load_json
+from .unreadable import replace_unreadable
 
 __all__ = [
     'FieldReader',
@@ -14,4 +15,5 @@
     'child_place',
     'item_place',
     'load_json',
+    'replace_unreadable',
 ]
--- a/packages/core/cactushead_core/validation/strict_json.py
+++ b/packages/core/cactushead_core/validation/strict_json.py
@@ -1,7 +1,8 @@
-"""Strict JSON parser: RFC 8259 without duplicate keys."""
+"""Strict JSON parser: RFC 8259 without duplicate keys and half characters."""
 
 import json
 import math
+import re
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -11,6 +12,9 @@
 
 ROOT_PLACE = '$'
 
+_HALF_PAIR_ESCAPE = re.compile(r'\\u[dD][89a-fA-F]')
+_HALF_PAIR = re.compile(r'[\ud800-\udfff]')
+
 
 @dataclass(frozen=True, slots=True)
 class LoadedJson:
@@ -28,12 +32,14 @@
 
 
 def load_json(body: bytes) -> LoadedJson:
-    """Parses a JSON text and reports duplicate keys and non-finite numbers.
+    r"""Parses a JSON text and reports what can't be written again.
 
     Explanation:
-        The hooks of the parser detect duplicate keys and numbers that are
-        not finite, but do not get their places. Only if they detect one,
-        the parsed value is traversed to find the places.
+        These are duplicate keys, numbers that are not finite, and texts with
+        one half of a surrogate pair, which an escape can express and UTF-8
+        can't. The hooks of the parser detect the first two, but do not get
+        their places. Only if something is detected, the parsed value is
+        traversed to find the places.
 
     Examples:
         >>> load_json(b'{"a": [1]}').content
@@ -41,6 +47,8 @@
         >>> for found in load_json(b'{"a": [1e999], "a": 2}').findings:
         ...     print(found)
         a: duplicate key
+        >>> print(load_json(b'["\\ud83d"]').findings[0])
+        [0]: half of a surrogate pair
         >>> print(load_json(b'{"a" 1}').findings[0])
         line 1 column 6: expecting ':' delimiter
 
@@ -128,7 +136,8 @@
         parse_float=hooks.make_float,
         parse_constant=hooks.make_float,
     )
-    findings = tuple(_find_all(content, '')) if hooks.found else ()
+    suspicious = hooks.found or _HALF_PAIR_ESCAPE.search(text) is not None
+    findings = tuple(_find_all(content, '')) if suspicious else ()
     return LoadedJson(content, findings, parsed=True)
 
 
@@ -143,12 +152,26 @@
     elif isinstance(content, list):
         for index, element in enumerate(content):
             yield from _find_all(element, item_place(place, index))
-    elif isinstance(content, float) and not math.isfinite(content):
-        yield Finding(place or ROOT_PLACE, f'must be finite, got {content}')
+    else:
+        finding = _scalar_finding(content)
+        if finding:
+            yield Finding(place or ROOT_PLACE, finding)
+
+
+def _scalar_finding(content: Any) -> str:
+    if isinstance(content, str) and _HALF_PAIR.search(content):
+        return 'half of a surrogate pair'
+    if isinstance(content, float) and not math.isfinite(content):
+        return f'must be finite, got {content}'
+    return ''
 
 
 def _find_in_object(members: dict[str, Any], place: str) -> Iterator[Finding]:
     for name in getattr(members, 'repeated', ()):
         yield Finding(child_place(place, name), 'duplicate key')
     for name, member in members.items():
+        finding = _scalar_finding(name)
+        if finding:
+            yield Finding(place or ROOT_PLACE, f'name with {finding}')
+            continue
         yield from _find_all(member, child_place(place, name))
--- a/packages/node/cactushead_node/fleet/ports.py
+++ b/packages/node/cactushead_node/fleet/ports.py
@@ -1,5 +1,6 @@
 """Interfaces that a platform implements for the processes of a fleet."""
 
+import logging
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -13,9 +14,16 @@
 
 if TYPE_CHECKING:
     # Importing this only for type checks lets entries start faster.
-    from cactushead_core.leasing import RenewLeases, StartLeased, StopLeased
+    from cactushead_core.leasing import (
+        RenewLeases,
+        StartLeased,
+        StopLeased,
+        UpstreamCall,
+    )
 
-_EffectT = TypeVar('_EffectT')
+_CallT = TypeVar('_CallT', bound='UpstreamCall')
+
+_log = logging.getLogger('cactushead.upstream')
 
 
 class LeasedUpstream(ABC):
@@ -71,12 +79,26 @@
 
     def _spawn(
         self,
-        call: Callable[[_EffectT], Awaitable[None]],
-        effect: _EffectT,
+        call: Callable[[_CallT], Awaitable[None]],
+        effect: _CallT,
     ) -> None:
         """Starts a call in the background, once the client runs."""
         if self._nursery is not None:
-            self._nursery.start_soon(call, effect)
+            self._nursery.start_soon(self._perform, call, effect)
+
+    async def _perform(
+        self,
+        call: Callable[[_CallT], Awaitable[None]],
+        effect: _CallT,
+    ) -> None:
+        """Makes a call; an unexpected error ends only this call."""
+        try:
+            await call(effect)
+        except Exception as error:
+            _log.exception(
+                'upstream: %s failed unexpectedly', type(effect).__name__
+            )
+            self._deliver_event(effect.failed(repr(error)))
 
     def _deliver_event(self, event: Event) -> None:
         """Delivers an event, stamped when the reducer processes it."""
