Refuse a job that can't be sent on

Cause: the text passed the decoder and failed in the encoder of messages, inside the turn of the event loop.

--- a/packages/node/cactushead_node/peers/links.py
+++ b/packages/node/cactushead_node/peers/links.py
@@ -266,25 +266,32 @@
         return ''
 
     def _send_on(self, link: Link, messages: Sequence[Message]) -> None:
-        """Sends messages on a link, split into frames within the size limit."""
+        """Sends messages on a link, split into frames that can be sent.
+
+        Explanation:
+            A message that is too large, or that can't be encoded, is dropped,
+            so that only the exchange to which it belongs fails.
+        """
         content = messages
         if self._side_channel is not None:
             content = [self._side_channel.header_message(), *messages]
-        frame = encode_frame(content)
-        if len(frame) <= MAX_FRAME_BYTES:
-            link.send(frame, len(content))
-        elif len(messages) > 1:
-            middle = len(messages) // 2
-            self._send_on(link, messages[:middle])
-            self._send_on(link, messages[middle:])
-        else:
+        try:
+            frame = _encode(content)
+        except FrameError as error:
+            if len(messages) > 1:
+                middle = len(messages) // 2
+                self._send_on(link, messages[:middle])
+                self._send_on(link, messages[middle:])
+                return
             self.counters.dropped_messages += 1
             _log.error(
-                'peers: dropped a %s of %d bytes to %s',
+                'peers: dropped a %s to %s: %s',
                 type(messages[0]).__name__,
-                len(frame),
                 link.peer.name,
+                error,
             )
+        else:
+            link.send(frame, len(content))
 
     def _receive(self, link: Link, message: Message) -> None:
         """Delivers a message, unless the side channel handles it."""
@@ -340,3 +347,18 @@
             self._links.pop(link.peer.name)
             _log.info('peers: lost %s', link.peer.name)
             self._deliver(partial(PeerLost, peer=link.peer))
+
+
+def _encode(messages: Sequence[Message]) -> bytes:
+    """Returns the frame of messages.
+
+    Raises:
+        FrameError: A message can't be encoded, or the frame is too large.
+    """
+    try:
+        frame = encode_frame(messages)
+    except Exception as error:
+        raise FrameError(f'not encodable: {error!r}') from error
+    if len(frame) > MAX_FRAME_BYTES:
+        raise FrameError(f'{len(frame)} bytes, at most {MAX_FRAME_BYTES}')
+    return frame
--- a/packages/node/cactushead_node/peers/tests/test_links.py
+++ b/packages/node/cactushead_node/peers/tests/test_links.py
@@ -232,6 +232,26 @@
     run(send_malformed_frame)
 
 
+# Guards against a process that ends because one message can't be encoded.
+def test_message_that_is_not_encodable_is_dropped_alone(caplog):
+    odd = Acknowledge(3, ('\ud83d',))
+
+    async def exchange():
+        voter, agent = LinkedProcess('voter'), LinkedProcess('agent')
+        async with listening(voter) as port, agent.dialling(port):
+            await agent.recorder.wait_for(PeerConnected(0.0, voter.peer))
+            agent.links.send('voter', [MESSAGES[0], odd, MESSAGES[1]])
+            await voter.recorder.wait_for(
+                PeerConnected(0.0, agent.peer),
+                MessageReceived(0.0, agent.peer, MESSAGES[0]),
+                MessageReceived(0.0, agent.peer, MESSAGES[1]),
+            )
+            assert agent.links.counters.dropped_messages == 1
+
+    run(exchange)
+    assert 'dropped a Acknowledge to voter' in caplog.text
+
+
 def test_send_without_link_is_counted():
     process = LinkedProcess('agent')
     process.links.send('voter', MESSAGES)
