Carry a cancel to the entry that has the job

Cause: the entry looked only among its own jobs and answered for the fleet.

Change: an entry that doesn't know the job asks the others before it answers: a voter, which has all links, asks all entries; any other entry asks a voter to. Without all replies the answer is 503. A job that is here costs no message.

--- a/packages/core/cactushead_core/dispatch/dispatcher.py
+++ b/packages/core/cactushead_core/dispatch/dispatcher.py
@@ -20,13 +20,13 @@
 from .containment import CrashContainment
 from .crashing_jobs import CrashingJobs
 from .estimates import RunTimes
-from .events import BestEffortSubmitted, CancelRequested
+from .events import BestEffortSubmitted
 from .job import OpenJob, OpenTask
 from .offers import offer_planned
 from .open_jobs import OpenJobs
 from .placement import EarliestCompletion, Placement
 from .planner import PlannedTask, Planner
-from .responses import BestEffortEnded, CancelAnswered
+from .responses import BestEffortEnded
 from .settings import DispatchSettings
 
 # Results that count as failures of the upstream.
@@ -154,18 +154,23 @@
         self._jobs.add(open_job)
         effects.extend(offer_planned(open_job, plan, now_s))
 
-    def on_cancel_requested(
-        self,
-        event: CancelRequested,
-        effects: list[Effect],
-    ) -> None:
-        """Cancels a job on request of a caller."""
-        open_job = self._jobs.find(event.job)
-        if open_job is not None:
-            end = BestEffortEnded(JobEnd.CANCELLED, 'cancelled by a caller')
-            self._jobs.end(open_job, end, event.now_s, effects)
-        answer = CancelAnswered(open_job is not None)
-        effects.append(Respond(event.request_id, answer))
+    def cancel(self, job: str, now_s: float, effects: list[Effect]) -> bool:
+        """Cancels an open job on request of a caller.
+
+        Args:
+            job: Id of the job.
+            now_s: The monotonic clock of the process.
+            effects: List to which effects are appended.
+
+        Returns:
+            Whether the job was open.
+        """
+        open_job = self._jobs.find(job)
+        if open_job is None:
+            return False
+        end = BestEffortEnded(JobEnd.CANCELLED, 'cancelled by a caller')
+        self._jobs.end(open_job, end, now_s, effects)
+        return True
 
     def on_caller_disconnected(
         self,
--- a/packages/core/cactushead_core/dispatch/responses.py
+++ b/packages/core/cactushead_core/dispatch/responses.py
@@ -26,7 +26,7 @@
     """Answer to a cancellation.
 
     Attributes:
-        found: Whether the job was open; it is cancelled then.
+        found: Whether the job was open at any entry; it is cancelled then.
     """
 
     found: bool
--- a/packages/core/cactushead_core/fleet/entry.py
+++ b/packages/core/cactushead_core/fleet/entry.py
@@ -50,7 +50,9 @@
     UpstreamLoad,
     UpstreamReport,
 )
+from .cancellations import Cancellations
 from .evacuated_agents import EvacuatedAgents
+from .messages import CancelJob, CancelJobReply
 from .settings import FleetSettings
 from .state_machine import StateMachine
 from .voter import Voter
@@ -103,6 +105,12 @@
             self.dispatcher,
             lambda: self.voter.is_leader,
         )
+        self._cancellations = Cancellations(
+            name,
+            self.discovery,
+            self.dispatcher,
+            settings.dispatch.outcome_retention_s,
+        )
         self._voter_selection = VoterSelection(settings, self.discovery)
         self._own_peer = Peer(name, PeerRole.ENTRY, incarnation)
         self._leader = ''
@@ -151,10 +159,11 @@
             case BestEffortSubmitted():
                 self.dispatcher.on_submitted(event, effects)
             case CancelRequested():
-                self.dispatcher.on_cancel_requested(event, effects)
+                self._cancellations.requested(event, effects)
             case CallerDisconnected():
                 self.configuration.caller_disconnected(event.request_id)
                 self.evacuations.caller_disconnected(event.request_id)
+                self._cancellations.caller_disconnected(event.request_id)
                 self.dispatcher.on_caller_disconnected(
                     event.request_id, now_s, effects
                 )
@@ -220,6 +229,10 @@
                 self.discovery.addresses_received(message)
             case LinkReleased():
                 self.discovery.link_released(sender.name, effects)
+            case CancelJob():
+                self._cancellations.asked(sender.name, message, now_s, effects)
+            case CancelJobReply():
+                self._cancellations.replied(sender.name, message, effects)
             case _:
                 self._on_configuration_message(
                     sender.name,
@@ -297,6 +310,7 @@
             effects.extend(Send(name, ping) for name in due)
         self.configuration.tick(now_s, effects)
         self.evacuations.tick(now_s, effects)
+        self._cancellations.tick(now_s, effects)
         self.dispatcher.tick(now_s, effects)
 
     def _active_peers(self) -> set[str]:
@@ -362,9 +376,12 @@
         self.discovery.peer_connected(peer, event.now_s, effects)
         if peer.role is PeerRole.AGENT:
             self.dispatcher.on_agent_connected(peer)
+        else:
+            self._cancellations.peer_connected(peer.name, effects)
 
     def _on_peer_lost(self, event: PeerLost, effects: list[Effect]) -> None:
         self.discovery.peer_lost(event.peer, event.now_s, effects)
+        self._cancellations.peer_lost(event.peer.name, effects)
         if event.peer.role is PeerRole.AGENT:
             self.dispatcher.on_agent_lost(event.peer, event.now_s)
 
--- a/packages/core/cactushead_core/fleet/messages.py
+++ b/packages/core/cactushead_core/fleet/messages.py
@@ -1,4 +1,4 @@
-"""Snapshot of the state that the voters of a fleet replicate."""
+"""Messages between the entries of a fleet, and the snapshot of its state."""
 
 from dataclasses import dataclass
 
@@ -19,3 +19,35 @@
 
     configuration: ConfigurationRecord
     evacuations: EvacuationState
+
+
+@wire_type(142)
+@dataclass(frozen=True, slots=True)
+class CancelJob(Message):
+    """An entry asks another one to cancel a job if it has it.
+
+    Attributes:
+        number: Number of the search at the sending entry.
+        job: Id of the job.
+        relay: Whether the receiver asks all other entries too.
+    """
+
+    number: int
+    job: str
+    relay: bool
+
+
+@wire_type(143)
+@dataclass(frozen=True, slots=True)
+class CancelJobReply(Message):
+    """Reply to the question.
+
+    Attributes:
+        number: Number of the search.
+        found: Whether a job was found and cancelled.
+        complete: Whether all entries that were asked have replied.
+    """
+
+    number: int
+    found: bool
+    complete: bool
