End the runs of a silent entry before its callers resend

Cause: the runs of a silent entry ended after the time-out of the link and the grace period, 1.5 s, and the stop; the reason given for the grace period left the time-out out of the sum.

Change: `LeasingSettings.owner_silence_s` is the one place of the sum. The claim of a silent owner lapses a stop, a tick and a call before a resend, 1.1 s here. The grace period after the loss of a link stays. `resend_s` and `stop_s` are settings, filled from the deployment's bounds; a deployment whose callers resend sooner than a silence can be noticed gets a warning at the start of its agents.

Weighed: entries that ask before they start a job (a round trip each, and a silent one doesn't answer), agents that refuse a second run (it starts elsewhere).

--- a/packages/core/cactushead_core/leasing/settings.py
+++ b/packages/core/cactushead_core/leasing/settings.py
@@ -2,6 +2,10 @@
 
 from dataclasses import dataclass
 
+# Below it, two late pings would end runs of an owner that is alive: they are at
+# most 0.4 s apart.
+MIN_OWNER_SILENCE_S = 0.9
+
 
 @dataclass(frozen=True, slots=True)
 class LeasingSettings:
@@ -20,7 +24,12 @@
         link_timeout_s: Time without received data after which either end of
             a link closes it.
         owner_grace_s: How long the runs of a disconnected owner continue; a
-            reconnect takes less time, and a caller's resend more.
+            reconnect takes less time.
+        resend_s: Shortest time after which a caller without a response sends
+            its job again, to another entry.
+        stop_s: How long the upstream takes to stop a run.
+        reaction_s: Time from the lapse of an owner's claim until the stop calls
+            have arrived; an interval of ticks and the time-out of a call.
         idle_list_interval_s: Interval at which the runs are listed while none
             is expected; the lease, since an unexpected run ends with it.
         load_interval_s: Minimum interval between two load messages to an
@@ -39,6 +48,9 @@
     retry_s: float = 0.1
     link_timeout_s: float = 1.0
     owner_grace_s: float = 0.5
+    resend_s: float = 1.3
+    stop_s: float = 0.05
+    reaction_s: float = 0.15
     idle_list_interval_s: float = 1.0
     load_interval_s: float = 0.1
     claims: bool = False
@@ -48,8 +60,25 @@
         """Time after the newest sign of an owner when its runs are dropped.
 
         Explanation:
-            The owner counts the same time, and the longest lease, from the
-            loss of the link until it places the tasks elsewhere
-            (`DispatchSettings.agent_removal_s`).
+            Two others start the tasks again some time after that sign. The
+            owner counts the time-out and the grace period, and the longest
+            lease, from the loss of the link (`DispatchSettings.
+            agent_removal_s`). A caller that its silent owner doesn't answer
+            sends the job to another entry. The runs have ended before both.
+        """
+        before_resend_s = self.resend_s - self.stop_s - self.reaction_s
+        return max(
+            min(self.link_timeout_s + self.owner_grace_s, before_resend_s),
+            MIN_OWNER_SILENCE_S,
+        )
+
+    @property
+    def overlap_s(self) -> float:
+        """Time for which runs of a silent owner may overlap those of a resend.
+
+        Explanation:
+            It is above 0 only if callers resend sooner than the links can show
+            that an owner is silent.
         """
-        return self.link_timeout_s + self.owner_grace_s
+        end_s = self.owner_silence_s + self.reaction_s + self.stop_s
+        return max(end_s - self.resend_s, 0)
--- a/packages/node/cactushead_node/fleet/agent_process.py
+++ b/packages/node/cactushead_node/fleet/agent_process.py
@@ -74,15 +74,16 @@
         self._upstream = upstream
         self._heartbeats = heartbeats
         self._process_links = ProcessLinks(settings.own, incarnation)
-        node = LeasingAgent(
-            LeasingSettings(
-                settings.own.name,
-                lease_s=settings.lease_s,
-                token=time.time_ns() // NANOSECONDS_PER_MS,
-                claims=settings.claims,
-            ),
-            Discovery(settings.own, settings.seeds),
+        leasing = LeasingSettings(
+            settings.own.name,
+            lease_s=settings.lease_s,
+            token=time.time_ns() // NANOSECONDS_PER_MS,
+            claims=settings.claims,
+            resend_s=settings.resend_s,
+            stop_s=settings.stop_s,
         )
+        _log_owner_silence(leasing)
+        node = LeasingAgent(leasing, Discovery(settings.own, settings.seeds))
         self._runtime = Runtime(
             node,
             self._process_links.links,
@@ -123,3 +124,16 @@
             await self._process_links.links.close(FLUSH_TIMEOUT_S)
             nursery.cancel_scope.cancel()
         _log.info('fleet: agent %s has drained', self._settings.own.name)
+
+
+def _log_owner_silence(settings: LeasingSettings) -> None:
+    _log.info(
+        'fleet: runs of a silent entry are stopped after %.2f s',
+        settings.owner_silence_s,
+    )
+    if settings.overlap_s > 0:
+        _log.warning(
+            'fleet: callers resend after %.2f s, tasks may overlap for %.2f s',
+            settings.resend_s,
+            settings.overlap_s,
+        )
--- a/packages/node/cactushead_node/fleet/parse.py
+++ b/packages/node/cactushead_node/fleet/parse.py
@@ -19,6 +19,8 @@
 MAX_DURATION_S = 3600.0
 MAX_FAR_FACTOR = 100.0
 DEFAULT_GRACE_S = 6.0
+DEFAULT_RESEND_S = 1.3
+DEFAULT_STOP_S = 0.05
 
 
 def parse_entry_settings(body: bytes) -> FleetEntrySettings:
@@ -67,6 +69,8 @@
         lease_s=reader.number('lease_s', highest=MAX_DURATION_S, default=1.0),
         grace_s=_read_grace_s(reader),
         claims=reader.flag('claims', default=False),
+        resend_s=_read_duration_s(reader, 'resend_s', DEFAULT_RESEND_S),
+        stop_s=_read_duration_s(reader, 'stop_s', DEFAULT_STOP_S),
     )
     raise_settings_findings(reader)
     return settings
@@ -119,9 +123,11 @@
 
 
 def _read_grace_s(reader: FieldReader) -> float:
-    return reader.number(
-        'grace_s', highest=MAX_DURATION_S, default=DEFAULT_GRACE_S
-    )
+    return _read_duration_s(reader, 'grace_s', DEFAULT_GRACE_S)
+
+
+def _read_duration_s(reader: FieldReader, name: str, default_s: float) -> float:
+    return reader.number(name, highest=MAX_DURATION_S, default=default_s)
 
 
 def _read_data_centres(reader: FieldReader) -> tuple[str, ...]:
--- a/packages/node/cactushead_node/fleet/settings.py
+++ b/packages/node/cactushead_node/fleet/settings.py
@@ -54,6 +54,9 @@
         lease_s: Maximum lease that the upstream grants.
         grace_s: Grace period from a stop signal until the process is killed.
         claims: Whether a waiting run claims room that will become free.
+        resend_s: Shortest time after which a caller without a response sends
+            its job again.
+        stop_s: How long the upstream takes to stop a run.
     """
 
     own: MemberAddress
@@ -62,6 +65,8 @@
     lease_s: float = 1.0
     grace_s: float = 6.0
     claims: bool = False
+    resend_s: float = 1.3
+    stop_s: float = 0.05
 
     @property
     def drain_s(self) -> float:
--- a/packages/node/cactushead_node/fleet/tests/test_parse.py
+++ b/packages/node/cactushead_node/fleet/tests/test_parse.py
@@ -62,6 +62,11 @@
     assert 0 < settings.drain_s < 10
 
 
+def test_resend_and_stop_of_an_agent():
+    settings = parse('agent', resend_s=2.5, stop_s=0.1)
+    assert (settings.resend_s, settings.stop_s) == (2.5, 0.1)
+
+
 @pytest.mark.parametrize('role', PARSERS)
 @pytest.mark.parametrize(
     ('changes', 'finding'),
@@ -74,6 +79,7 @@
         ({'seeds': '10.0.0.1'}, 'seeds: must be an array'),
         ({'seeds': ['edge:1']}, 'seeds: must name an IP number'),
         ({'lease_s': 0}, 'lease_s: must be above 0'),
+        ({'grace_s': -1}, 'grace_s: must be above 0'),
         ({'grace_s': True}, 'grace_s: must be a number'),
         ({'sead': 1}, 'sead: unknown field'),
     ],
