Take only a refused connection for the end of an upstream

An agent reported running tasks as crashed, so that they could run twice, when a renewal's connection wasn't opened in time or its own process had no free file descriptor.

Cause: the time-out of a connect was turned into an error of the connect, and each such error counted as a port without a listener.

Change: only a refused or reset connection shows that nothing listens. After other errors the runs go on until their leases lapse. A start without a connection is still known not to have been sent.

--- a/packages/node/cactushead_node/connections.py
+++ b/packages/node/cactushead_node/connections.py
@@ -10,6 +10,8 @@
 # Above the answers of upstreams, so that one read takes all of one.
 READ_BYTES = 65_536
 
+_REFUSALS = (ConnectionRefusedError, ConnectionResetError)
+
 
 @dataclass(frozen=True, slots=True)
 class Timeouts:
@@ -24,6 +26,25 @@
     read_s: float
 
 
+def is_refused(error: httpcore.ConnectError) -> bool:
+    """Whether an error shows that nothing listens at an address.
+
+    Explanation:
+        Others, such as a lack of file descriptors in this process, say nothing
+        about the server.
+
+    Args:
+        error: The error of the attempt to connect.
+    """
+    cause: BaseException | None = error
+    while cause is not None:
+        # The attempts for each address of a host are a group.
+        if isinstance(cause, BaseExceptionGroup):
+            return cause.subgroup(_REFUSALS) is not None
+        cause = cause.__cause__
+    return False
+
+
 def make_connection_pool(
     max_connections: int,
     keepalive_s: float,
@@ -169,7 +190,9 @@
 
         Raises:
             httpcore.ConnectError: No connection could be opened, so nothing
-                was sent.
+                was sent; `is_refused` tells whether nothing listens there.
+            httpcore.ConnectTimeout: No connection was opened in time, so
+                nothing was sent.
             httpcore.PoolTimeout: All connections are in use, so nothing was
                 sent.
             httpcore.NetworkError: The connection broke.
@@ -233,12 +256,9 @@
                 return connection
             await connection.close()
         host, _, port = address.rpartition(':')
-        try:
-            stream = await self._backend.connect_tcp(
-                host, int(port), timeout=connect_s
-            )
-        except httpcore.ConnectTimeout as error:
-            raise httpcore.ConnectError(str(error)) from error
+        stream = await self._backend.connect_tcp(
+            host, int(port), timeout=connect_s
+        )
         return _Connection(stream)
 
     async def _close_idle(self) -> None:
