Ask the other entries for a job that was refused here

An entry that had refused a job answered its cancel with 410 without asking the others, one of which may have accepted the job since. Found by reading; the new case of `test_cancellations` shows it.

Each voter relays the searches of a part of the jobs, so that one of them doesn't get all. `OwnershipTimes` says in the usual terms when an ownership expires; no change of behaviour there.

--- a/packages/core/cactushead_core/fleet/cancellations.py
+++ b/packages/core/cactushead_core/fleet/cancellations.py
@@ -1,6 +1,7 @@
 """Cancellations of jobs by callers, at whichever entry has the job."""
 
 import itertools
+import zlib
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
@@ -11,6 +12,7 @@
 from ..dispatch.responses import CancelAnswered
 from ..effects import Count, Effect, Respond, Send
 from ..events import PeerRole
+from ..tasks import JobEnd
 from .messages import CancelJob, CancelJobReply
 
 # Above the time-out of a link, so that a silent entry counts as a lost one.
@@ -127,7 +129,11 @@
     def requested(self, event: CancelRequested, effects: list[Effect]) -> None:
         """Cancels a job on request of a caller."""
         caller = _Caller(event.request_id)
-        known = self._dispatcher.state(event.job) is not None
+        # A refused job may have been accepted elsewhere since.
+        known = self._dispatcher.state(event.job) not in {
+            None,
+            JobEnd.REFUSED,
+        }
         found = self._dispatcher.cancel(event.job, event.now_s, effects)
         if known:
             effects.append(caller.answer(found=found))
@@ -239,7 +245,7 @@
         relayed = self._name not in self._discovery.voters
         timeout_s = REPLY_TIMEOUT_S
         if relayed:
-            others = set(sorted(others & set(self._discovery.voters))[:1])
+            others = _choose_relay(job, others & set(self._discovery.voters))
             timeout_s = RELAY_TIMEOUT_S
         else:
             self._searched_s[job] = now_s
@@ -259,3 +265,11 @@
     ) -> None:
         asker = self._searches.pop(number).asker
         effects.append(asker.answer(found=found))
+
+
+def _choose_relay(job: str, voters: set[str]) -> set[str]:
+    """Returns at most one voter; each one relays a part of the jobs."""
+    ordered = sorted(
+        voters, key=lambda voter: zlib.crc32(f'{voter} {job}'.encode())
+    )
+    return set(ordered[:1])
--- a/packages/core/cactushead_core/fleet/tests/test_cancellations.py
+++ b/packages/core/cactushead_core/fleet/tests/test_cancellations.py
@@ -66,6 +66,19 @@
     assert world.responses[request] == NOT_FOUND
 
 
+# Guards against an entry that has refused the job and doesn't ask the one that
+# has accepted it since.
+def test_job_that_was_refused_here_is_cancelled_elsewhere():
+    world = start_world()
+    world.submit('e8', count=2, job=JOB)
+    world.run(0.2)
+    recent = world.entry('e0').dispatcher._jobs
+    recent.add_end(JOB, JobEnd.REFUSED, world.now_s)
+    request = cancel(world, 'e0')
+    world.run(0.1)
+    assert world.responses[request] == FOUND
+
+
 # Guards against a cancel that costs messages although the job is here.
 def test_cancel_of_an_own_job_asks_nobody():
     world = start_world()
--- a/packages/core/cactushead_core/leasing/owners.py
+++ b/packages/core/cactushead_core/leasing/owners.py
@@ -33,7 +33,7 @@
             tracker: The current incarnation of its upstream.
             stop_calls: Its stop calls.
             sessions: Its sessions with entries.
-            times: When the claims of owners lapse.
+            times: When the ownership of each owner expires.
         """
         self._runs = runs
         self._tracker = tracker
@@ -60,7 +60,7 @@
 
     def offered(self, owner: Peer, now_s: float) -> None:
         """Records that an entry has offered runs."""
-        self._times.add(owner, now_s)
+        self._times.renew(owner, now_s)
 
     def heard(self, peer: Peer, now_s: float) -> None:
         """Records that an entry has sent a message."""
@@ -93,7 +93,7 @@
             now_s: The agent's clock.
             effects: List to which effects are appended.
         """
-        for owner in self._times.lapsed(now_s):
+        for owner in self._times.expire(now_s):
             if self._runs.of_owner(owner):
                 self._drop(owner, now_s, effects)
                 self._sessions.renew(owner)
--- a/packages/core/cactushead_core/leasing/settings.py
+++ b/packages/core/cactushead_core/leasing/settings.py
@@ -28,8 +28,8 @@
         resend_s: Shortest time after which a caller without a response sends
             its job again, to another entry.
         stop_s: How long the upstream takes to stop a run.
-        reaction_s: Time from the lapse of an owner's claim until the stop calls
-            have arrived; an interval of ticks and the time-out of a call.
+        reaction_s: Time from the end of an ownership until the stop calls have
+            arrived; an interval of ticks and the time-out of a call.
         idle_list_interval_s: Interval at which the runs are listed while none
             is expected; the lease, since an unexpected run ends with it.
         load_interval_s: Minimum interval between two load messages to an
@@ -57,14 +57,14 @@
 
     @property
     def owner_silence_s(self) -> float:
-        """Time after the newest sign of an owner when its runs are dropped.
+        """Time after the last message of an owner when its runs are dropped.
 
         Explanation:
-            Two others start the tasks again some time after that sign. The
-            owner counts the time-out and the grace period, and the longest
-            lease, from the loss of the link (`DispatchSettings.
-            agent_removal_s`). A caller that its silent owner doesn't answer
-            sends the job to another entry. The runs have ended before both.
+            The tasks may be started again by two others some time later: by the
+            owner, after the time-out, the grace period and the longest lease
+            (`DispatchSettings.agent_removal_s`), and by another entry, to which
+            a caller resends the job that a silent owner doesn't answer. The
+            runs end before both.
         """
         before_resend_s = self.resend_s - self.stop_s - self.reaction_s
         return max(
