Play random pauses, cuts, foreign heartbeats and resends

The new test draws series of pauses of agents and entries, cuts, foreign heartbeats, cancels, and clients that send again after 1.3 s, and checks after each step that no task runs twice.

--- a/packages/core/cactushead_core/fleet/tests/simulation.py
+++ b/packages/core/cactushead_core/fleet/tests/simulation.py
@@ -300,6 +300,10 @@
         )
         return self.send(entry, submitted, number)
 
+    def submit_later(self, delay_s: float, entry: str, job: str) -> None:
+        """Submits a job again after a delay, as a caller does."""
+        self._schedule(delay_s, lambda: self.submit(entry, count=4, job=job))
+
     def send(
         self,
         entry: str,
