Split the answers to calls from the lease manager

What the answers to start and stop calls do to a run moves to `CallAnswers` without a change; `stop_completed` loses a parameter that it never used. A doc string names `is_refused` without a figure of speech.

Measured: the tests of `fleet` and `leasing` pass, each module in a process of its own.

--- a/packages/core/cactushead_core/leasing/lease_manager.py
+++ b/packages/core/cactushead_core/leasing/lease_manager.py
@@ -3,6 +3,7 @@
 from ..effects import Count, Effect, Record
 from ..events import Peer, ProcessResumed
 from ..tasks import OfferTasks, RunEnd, TaskRef, TaskRun
+from .call_answers import CallAnswers
 from .calls import UpstreamCalls
 from .crashes import CrashReporter
 from .events import (
@@ -14,13 +15,13 @@
     UpstreamDeregistered,
 )
 from .incarnations import TOO_LARGE, Incarnations
-from .model import Heartbeat, StartAnswer, UpstreamIdentity
+from .model import Heartbeat
 from .outbox import Outbox
 from .owners import Owners
 from .ownership import OwnershipTimes
 from .reconciler import RunReconciler
 from .renewals import Renewals
-from .runs import LeasedRun, Phase, RunTable, run_record
+from .runs import LeasedRun, RunTable
 from .sessions import Sessions
 from .settings import LeasingSettings
 from .start_plan import plan_starts
@@ -78,6 +79,13 @@
             self._incarnations,
             crash_reporter,
         )
+        self._answers = CallAnswers(
+            self.runs,
+            self._tracker,
+            self._calls,
+            self._renewals,
+            self._outbox,
+        )
         self._owners = Owners(
             self.runs,
             self._tracker,
@@ -217,56 +225,11 @@
         effects: list[Effect],
     ) -> None:
         """Processes the result of a start call."""
-        run = self._find_run(event.upstream, event.task, event.run)
-        if run is None:
-            return
-        self._calls.clock.observe(event.clock_ms, event.now_s)
-        match event.answer:
-            case StartAnswer.STARTED:
-                run.started_s = event.now_s
-                if run.phase is Phase.STARTING:
-                    run.phase = Phase.RUNNING
-            case StartAnswer.UNKNOWN:
-                self._start_unanswered(run, event, effects)
-            case _:
-                if event.answer is StartAnswer.FENCED:
-                    self._calls.raise_token(effects)
-                effects.append(run_record('start refused', run, event.cause))
-                self._outbox.finish(
-                    run, RunEnd.RETURNED, event.now_s, event.cause
-                )
-
-    def _start_unanswered(
-        self,
-        run: LeasedRun,
-        event: StartCallCompleted,
-        effects: list[Effect],
-    ) -> None:
-        """Waits for a list that shows whether the run has started.
+        self._answers.start_completed(event, effects)
 
-        Explanation:
-            If only the answer was lost, the run goes on. If the call is late,
-            the next list doesn't contain the run, and it is stopped, which
-            prevents its start.
-        """
-        if run.phase is not Phase.STARTING:
-            return
-        effects.append(run_record('start unanswered', run, event.cause))
-        run.unanswered_s = event.now_s
-        self._renewals.renew_now(event.now_s, effects)
-
-    def stop_completed(
-        self,
-        event: StopCallCompleted,
-        effects: list[Effect],
-    ) -> None:
+    def stop_completed(self, event: StopCallCompleted) -> None:
         """Processes the result of a stop call."""
-        run = self._find_run(event.upstream, event.task, event.run)
-        if run is None:
-            return
-        run.stop_pending = False
-        if event.confirmed:
-            run.stop_confirmed_s = event.now_s
+        self._answers.stop_completed(event)
 
     def leases_renewed(
         self, event: LeasesRenewed, effects: list[Effect]
@@ -344,20 +307,6 @@
 
     # Helpers.
 
-    def _find_run(
-        self,
-        upstream: UpstreamIdentity,
-        task: TaskRef,
-        number: int,
-    ) -> LeasedRun | None:
-        """Returns the run that an answer refers to, if still tracked."""
-        if not self._tracker.matches(upstream):
-            return None
-        run = self.runs.find(task)
-        if run is None or run.run != number or run.phase is Phase.QUEUED:
-            return None
-        return run
-
     def _find_rejection(self, run: LeasedRun) -> str:
         """Returns why an offered run can't be queued, empty if it can be."""
         if self.upstream is None or not self.ready:
--- a/packages/core/cactushead_core/leasing/node.py
+++ b/packages/core/cactushead_core/leasing/node.py
@@ -83,7 +83,7 @@
             case StartCallCompleted():
                 manager.start_completed(event, effects)
             case StopCallCompleted():
-                manager.stop_completed(event, effects)
+                manager.stop_completed(event)
             case LeasesRenewed():
                 manager.leases_renewed(event, effects)
             case RenewalFailed():
--- a/packages/node/cactushead_node/connections.py
+++ b/packages/node/cactushead_node/connections.py
@@ -190,7 +190,7 @@
 
         Raises:
             httpcore.ConnectError: No connection could be opened, so nothing
-                was sent; `is_refused` tells whether nothing listens there.
+                was sent. See `is_refused`.
             httpcore.ConnectTimeout: No connection was opened in time, so
                 nothing was sent.
             httpcore.PoolTimeout: All connections are in use, so nothing was
