Split the agents that an entry knows from the dispatcher

The views of agents, from their first link to their removal, move to `AgentViews`, which `EvacuatedAgents` gets in place of the whole dispatcher. No change of behaviour.

Measured: the tests of `fleet` and `dispatch` pass, each module in a process of its own.

--- a/packages/core/cactushead_core/dispatch/dispatcher.py
+++ b/packages/core/cactushead_core/dispatch/dispatcher.py
@@ -12,11 +12,11 @@
     RunResult,
     RunsEnded,
     TaskRef,
-    UpstreamLoad,
     UpstreamReport,
 )
 from .admission import Admission, refusal_record
 from .agent_view import AgentView
+from .agent_views import AgentViews
 from .containment import CrashContainment
 from .crashing_jobs import CrashingJobs
 from .estimates import RunTimes
@@ -45,6 +45,7 @@
         only when its previous run is known to have ended.
 
     Attributes:
+        agents: The known agents.
         crashing_jobs: Gives up the jobs that crash their upstreams.
     """
 
@@ -63,18 +64,18 @@
             seed: Seed of the jitter in the default policy.
             find_entries: Returns the names of the connected entries.
         """
-        self._settings = settings
         self._times = RunTimes()
         self._admission = Admission(settings, self._times)
-        self._views: dict[str, AgentView] = {}
+        self.agents = AgentViews(settings.agent_removal_s)
+        views = self.agents.by_name
         self._containment = CrashContainment(settings.outcome_retention_s)
         self._planner = Planner(
             placement or EarliestCompletion(settings.far_factor, seed),
             self._times,
-            self._views,
+            views,
             self._containment,
         )
-        self._jobs = OpenJobs(self._views, settings.outcome_retention_s)
+        self._jobs = OpenJobs(views, settings.outcome_retention_s)
         self.crashing_jobs = CrashingJobs(
             self._jobs, self._containment, find_entries
         )
@@ -87,7 +88,7 @@
     @property
     def views(self) -> dict[str, AgentView]:
         """The agents by name."""
-        return self._views
+        return self.agents.by_name
 
     @property
     def draining(self) -> bool:
@@ -188,31 +189,7 @@
                 self._jobs.end(open_job, end, now_s, effects)
             return
 
-    # Messages and links of agents.
-
-    def on_agent_connected(self, peer: Peer) -> None:
-        """Adds or updates an agent whose link is up; its report follows."""
-        view = self._views.setdefault(peer.name, AgentView(peer.name))
-        view.connected = True
-        view.session = 0
-
-    def set_evacuated(self, name: str, *, evacuated: bool) -> None:
-        """Records whether the data centre of an agent is evacuated.
-
-        Args:
-            name: Name of the agent.
-            evacuated: Whether nothing may be offered to it.
-        """
-        view = self._views.get(name)
-        if view is not None:
-            view.evacuated = evacuated
-
-    def on_agent_lost(self, peer: Peer, now_s: float) -> None:
-        """Records the time at which the link of an agent was lost."""
-        view = self._views.get(peer.name)
-        if view is not None:
-            view.connected = False
-            view.lost_s = now_s
+    # Messages of agents.
 
     def on_upstream_report(
         self,
@@ -230,7 +207,7 @@
             Jobs with tasks that the report lists but the entry doesn't expect
             are cancelled at the agent.
         """
-        view = self._views.get(sender.name)
+        view = self.agents.find(sender.name)
         if view is None:
             return
         end = RunEnd.RETURNED if view.session else RunEnd.LOST
@@ -244,12 +221,6 @@
             for job in sorted({unknown_ref.job for unknown_ref in unknown})
         )
 
-    def on_upstream_load(self, sender: Peer, load: UpstreamLoad) -> None:
-        """Updates the load of an agent."""
-        view = self._views.get(sender.name)
-        if view is not None:
-            view.update_load(load)
-
     def on_runs_ended(
         self,
         sender: Peer,
@@ -258,7 +229,7 @@
         effects: list[Effect],
     ) -> None:
         """Processes the results of runs."""
-        view = self._views.get(sender.name)
+        view = self.agents.find(sender.name)
         if view is None:
             return
         for run_result in message.results:
@@ -267,10 +238,8 @@
     def tick(self, now_s: float, effects: list[Effect]) -> None:
         """Removes lost agents, ends expired jobs and retries placement."""
         self._admission.tick(now_s)
-        for view in list(self._views.values()):
-            absent_s = 0.0 if view.connected else now_s - view.lost_s
-            if absent_s >= self._settings.agent_removal_s:
-                self._remove_agent(view, now_s, effects)
+        for view in self.agents.expired(now_s):
+            self._remove_agent(view, now_s, effects)
         for open_job in self._jobs:
             if now_s >= open_job.caller_deadline_s:
                 end = BestEffortEnded(JobEnd.ABANDONED, 'deadline passed')
@@ -290,7 +259,7 @@
     ) -> None:
         for ref in sorted(view.tasks):
             self._end_task(view, ref, RunEnd.LOST, 'agent lost', now_s, effects)
-        self._views.pop(view.name)
+        self.agents.by_name.pop(view.name)
 
     def _retry_placement(
         self,
--- a/packages/core/cactushead_core/fleet/entry.py
+++ b/packages/core/cactushead_core/fleet/entry.py
@@ -102,7 +102,7 @@
             name,
             self.evacuations,
             self.discovery,
-            self.dispatcher,
+            self.dispatcher.agents,
             lambda: self.voter.is_leader,
         )
         self._cancellations = Cancellations(
@@ -210,7 +210,7 @@
             case RunsEnded():
                 self.dispatcher.on_runs_ended(sender, message, now_s, effects)
             case UpstreamLoad():
-                self.dispatcher.on_upstream_load(sender, message)
+                self.dispatcher.agents.load_received(sender, message)
             case UpstreamReport():
                 self.dispatcher.on_upstream_report(
                     sender, message, now_s, effects
@@ -234,7 +234,7 @@
             case CancelJobReply():
                 self._cancellations.replied(sender.name, message, effects)
             case _:
-                self._on_configuration_message(
+                self._on_state_message(
                     sender.name,
                     message,
                     now_s,
@@ -259,7 +259,7 @@
                 if name != sender.name
             )
 
-    def _on_configuration_message(
+    def _on_state_message(
         self,
         sender: str,
         message: Message,
@@ -375,7 +375,7 @@
         peer = event.peer
         self.discovery.peer_connected(peer, event.now_s, effects)
         if peer.role is PeerRole.AGENT:
-            self.dispatcher.on_agent_connected(peer)
+            self.dispatcher.agents.connected(peer)
         else:
             self._cancellations.peer_connected(peer.name, effects)
 
@@ -383,7 +383,7 @@
         self.discovery.peer_lost(event.peer, event.now_s, effects)
         self._cancellations.peer_lost(event.peer.name, effects)
         if event.peer.role is PeerRole.AGENT:
-            self.dispatcher.on_agent_lost(event.peer, event.now_s)
+            self.dispatcher.agents.lost(event.peer, event.now_s)
 
     def _on_drain_requested(self, effects: list[Effect]) -> None:
         if self.dispatcher.draining:
--- a/packages/core/cactushead_core/fleet/evacuated_agents.py
+++ b/packages/core/cactushead_core/fleet/evacuated_agents.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from ..discovery import Discovery, MemberAddress
-from ..dispatch import Dispatcher
+from ..dispatch.agent_views import AgentViews
 from ..effects import Count, Effect, Record, Send
 from ..evacuation.manager import EvacuationManager
 from ..events import PeerRole
@@ -22,7 +22,7 @@
         name: str,
         evacuations: EvacuationManager,
         discovery: Discovery,
-        dispatcher: Dispatcher,
+        agents: AgentViews,
         is_leader: Callable[[], bool],
     ) -> None:
         """Shares the state of the entry.
@@ -31,19 +31,19 @@
             name: Name of the entry.
             evacuations: Its evacuations.
             discovery: Its links.
-            dispatcher: Its dispatcher.
+            agents: The agents of its dispatcher.
             is_leader: Whether the entry leads now.
         """
         self._name = name
         self._evacuations = evacuations
         self._discovery = discovery
-        self._dispatcher = dispatcher
+        self._agents = agents
         self._is_leader = is_leader
         self._applied_version = 0
         self._announced_version = 0
 
     def introduced(self, member: MemberAddress, effects: list[Effect]) -> None:
-        """Tells a new peer the state, and marks it if it is evacuated.
+        """Sends the state to a new peer; marks the peer if it is evacuated.
 
         Args:
             member: Address of the peer.
@@ -51,10 +51,7 @@
         """
         if self._evacuations.version:
             effects.append(Send(member.name, self._evacuations.active))
-        if member.role is PeerRole.AGENT:
-            self._dispatcher.set_evacuated(
-                member.name, evacuated=self._is_evacuated(member)
-            )
+        self._mark(member)
 
     def end_turn(self, effects: list[Effect]) -> None:
         """Applies a state that came into force in this turn.
@@ -75,16 +72,9 @@
 
     def _apply(self, effects: list[Effect]) -> None:
         self._announce(PeerRole.AGENT, effects)
-        agents = [
-            member
-            for member in self._discovery.members
-            if member.role is PeerRole.AGENT
-        ]
-        for member in agents:
-            self._dispatcher.set_evacuated(
-                member.name, evacuated=self._is_evacuated(member)
-            )
-        views = self._dispatcher.views.values()
+        for member in self._discovery.members:
+            self._mark(member)
+        views = self._agents.by_name.values()
         evacuated = [view for view in views if view.evacuated]
         usable = sum(view.usable for view in views)
         effects.extend(
@@ -107,5 +97,9 @@
             for name in self._discovery.peers(role)
         )
 
-    def _is_evacuated(self, member: MemberAddress) -> bool:
-        return member.data_centre in self._evacuations.active.data_centres
+    def _mark(self, member: MemberAddress) -> None:
+        """Marks an agent; other members are unknown to the dispatcher."""
+        data_centres = self._evacuations.active.data_centres
+        self._agents.set_evacuated(
+            member.name, evacuated=member.data_centre in data_centres
+        )
--- a/packages/core/cactushead_core/fleet/tests/test_evacuation.py
+++ b/packages/core/cactushead_core/fleet/tests/test_evacuation.py
@@ -167,7 +167,7 @@
     acknowledged_s = evacuate(world, 'dc-a0')
     stale = world.entry('e3')
     stale.evacuations.active = before
-    stale.dispatcher.set_evacuated('a0', evacuated=False)
+    stale.dispatcher.agents.set_evacuated('a0', evacuated=False)
     send_jobs(world, 1.0, ('e3',))
     assert not starts_at(world, 'u0', acknowledged_s + 0.1)
 
