Split the messages about replicated state from the entry's reducer

Messages about configurations and evacuations, and the announcement of a new version, move to `StateMessages`. No change of behaviour.

Measured: the tests of `fleet`, `configuration` and `evacuation` pass, each module in a process of its own.

--- a/packages/core/cactushead_core/fleet/entry.py
+++ b/packages/core/cactushead_core/fleet/entry.py
@@ -1,12 +1,5 @@
 """The reducer of an entry of a fleet."""
 
-from ..configuration import (
-    ConfigurationUpdate,
-    NewestReply,
-    NewestRequest,
-    SubmissionReply,
-    SubmitConfiguration,
-)
 from ..configuration.events import ConfigurationSubmitted, NewestRequested
 from ..configuration.manager import ConfigurationFormat, ConfigurationManager
 from ..discovery import (
@@ -19,12 +12,7 @@
 from ..dispatch import Dispatcher
 from ..dispatch.events import BestEffortSubmitted, CancelRequested
 from ..effects import Drained, Effect, EventKind, Record, Send
-from ..evacuation import (
-    EvacuationReply,
-    EvacuationRequested,
-    EvacuationState,
-    SubmitEvacuation,
-)
+from ..evacuation import EvacuationRequested
 from ..evacuation.manager import EvacuationManager
 from ..events import (
     CallerDisconnected,
@@ -40,7 +28,6 @@
     TurnEnded,
 )
 from ..loopback import extract_self_sends
-from ..messages.base import Message
 from ..reducer import Node
 from ..replication import StoredLog
 from ..tasks import (
@@ -55,6 +42,7 @@
 from .messages import CancelJob, CancelJobReply
 from .settings import FleetSettings
 from .state_machine import StateMachine
+from .state_messages import StateMessages
 from .voter import Voter
 from .voter_selection import VoterSelection
 
@@ -98,6 +86,9 @@
         )
         state_machine = StateMachine(self.configuration, self.evacuations)
         self.voter = Voter(settings, stored, state_machine, now_s)
+        self._state_messages = StateMessages(
+            self.configuration, self.evacuations, self.voter, self.discovery
+        )
         self._evacuated_agents = EvacuatedAgents(
             name,
             self.evacuations,
@@ -115,7 +106,6 @@
         self._own_peer = Peer(name, PeerRole.ENTRY, incarnation)
         self._leader = ''
         self._leader_term = 0
-        self._announced_version = 0
         self._drained = False
         self._was_leader = False
 
@@ -189,7 +179,7 @@
     def _end_turn(self, event: TurnEnded, effects: list[Effect]) -> None:
         self.voter.handle(event, effects)
         self._evacuated_agents.end_turn(effects)
-        self._announce_version(effects)
+        self._state_messages.announce_version(effects)
         if self.dispatcher.draining and self.dispatcher.idle:
             self._end_drain(effects)
 
@@ -234,11 +224,8 @@
             case CancelJobReply():
                 self._cancellations.replied(sender.name, message, effects)
             case _:
-                self._on_state_message(
-                    sender.name,
-                    message,
-                    now_s,
-                    effects,
+                self._state_messages.received(
+                    sender.name, message, now_s, effects
                 )
 
     def _on_crashing_job_found(
@@ -259,33 +246,6 @@
                 if name != sender.name
             )
 
-    def _on_state_message(
-        self,
-        sender: str,
-        message: Message,
-        now_s: float,
-        effects: list[Effect],
-    ) -> None:
-        manager = self.configuration
-        replica = self.voter.replica_if_leader()
-        match message:
-            case SubmitConfiguration():
-                manager.store(sender, message, replica, now_s, effects)
-            case NewestRequest():
-                manager.send_newest(sender, message, replica, now_s, effects)
-            case SubmissionReply():
-                manager.submission_replied(message, effects)
-            case NewestReply():
-                manager.newest_replied(message, effects)
-            case ConfigurationUpdate():
-                manager.update_received(message, effects)
-            case SubmitEvacuation():
-                self.evacuations.store(sender, message, replica, now_s, effects)
-            case EvacuationReply():
-                self.evacuations.replied(message, effects)
-            case EvacuationState():
-                self.evacuations.state_received(message, effects)
-
     def _on_tick(self, event: Tick, effects: list[Effect]) -> None:
         now_s = event.now_s
         if not self.discovery.voters:
@@ -397,16 +357,3 @@
             ),
         )
         self.voter.transfer_leadership(effects)
-
-    def _announce_version(self, effects: list[Effect]) -> None:
-        """Sends a new configuration to all entries if this entry leads."""
-        version = self.configuration.version
-        if version == self._announced_version or not self.voter.is_leader:
-            return
-        self._announced_version = version
-        update = self.configuration.current_update()
-        if update is not None:
-            effects.extend(
-                Send(name, update)
-                for name in self.discovery.peers(PeerRole.ENTRY)
-            )
