Log what an entry knows of a task that is started twice

Cause: an entry logged nothing when a job arrived again, when a job ended while agents had runs of it, when an agent was given up, and which report made it place tasks elsewhere. A result of a run that nobody awaited was dropped unseen.

Change: the lines 'job sent again', 'caller left', 'job given up', 'agent given up', 'tasks not reported', 'unexpected tasks reported' and 'result ignored', and the counters jobs_sent_again, stopped_jobs and tasks with 'result ignored'. A job without trouble writes none; the existing lines are as they were.

--- a/packages/core/cactushead_core/dispatch/dispatcher.py
+++ b/packages/core/cactushead_core/dispatch/dispatcher.py
@@ -21,6 +21,15 @@
 from .crashing_jobs import CrashingJobs
 from .estimates import RunTimes
 from .events import BestEffortSubmitted
+from .evidence import (
+    agent_given_up_record,
+    caller_left_record,
+    ended_again_record,
+    ignored_record,
+    missing_record,
+    open_again_record,
+    unexpected_record,
+)
 from .job import OpenJob, OpenTask
 from .offers import offer_planned
 from .open_jobs import OpenJobs
@@ -33,6 +42,8 @@
 _UPSTREAM_FAULTS = frozenset((RunEnd.FAILED, RunEnd.STALLED))
 # Results of runs that never started.
 _NEVER_STARTED = frozenset((RunEnd.RETURNED, RunEnd.NO_CAPACITY))
+# Results of the runs of a job that was stopped, which nobody awaits.
+_ENDS_OF_STOPPED_JOBS = _NEVER_STARTED | {RunEnd.STOPPED}
 
 
 class Dispatcher:
@@ -134,9 +145,13 @@
         known = self._jobs.find(job.job)
         if known is not None:
             known.request_ids.append(event.request_id)
+            effects.append(Count('jobs_sent_again', 'open'))
+            effects.append(open_again_record(known, now_s))
             return
         earlier = self._jobs.find_end(job.job)
         if earlier is not None:
+            effects.append(Count('jobs_sent_again', earlier.value))
+            effects.append(ended_again_record(job.job, earlier.value))
             end = BestEffortEnded(earlier, 'sent again')
             effects.append(Respond(event.request_id, end))
             return
@@ -184,7 +199,9 @@
             if request_id not in open_job.request_ids:
                 continue
             open_job.request_ids.remove(request_id)
-            if not open_job.request_ids:
+            if open_job.request_ids:
+                effects.append(caller_left_record(open_job))
+            else:
                 end = BestEffortEnded(JobEnd.ABANDONED, 'caller hung up')
                 self._jobs.end(open_job, end, now_s, effects)
             return
@@ -210,11 +227,17 @@
         view = self.agents.find(sender.name)
         if view is None:
             return
-        end = RunEnd.RETURNED if view.session else RunEnd.LOST
+        earlier_session = view.session
+        end = RunEnd.RETURNED if earlier_session else RunEnd.LOST
         view.start_session(report)
         reported = set(report.held)
         unknown = reported - view.tasks
-        for ref in sorted(view.tasks - reported):
+        if unknown:
+            effects.append(unexpected_record(view, unknown))
+        missing = view.tasks - reported
+        if missing:
+            effects.append(missing_record(view, earlier_session, missing))
+        for ref in sorted(missing):
             self._end_task(view, ref, end, 'not at the agent', now_s, effects)
         effects.extend(
             Send(view.name, CancelBestEffortJob(job))
@@ -257,6 +280,7 @@
         now_s: float,
         effects: list[Effect],
     ) -> None:
+        effects.append(agent_given_up_record(view, now_s))
         for ref in sorted(view.tasks):
             self._end_task(view, ref, RunEnd.LOST, 'agent lost', now_s, effects)
         self.agents.by_name.pop(view.name)
@@ -310,6 +334,7 @@
     ) -> None:
         open_job, task = self._jobs.find_task(view, run_result.task)
         if open_job is None or task is None or task.run != run_result.run:
+            self._ignore_result(view, open_job, run_result, effects)
             return
         view.tasks.discard(task.ref)
         task.agent = ''
@@ -345,6 +370,31 @@
         else:
             self._place(open_job, now_s, effects)
 
+    def _ignore_result(
+        self,
+        view: AgentView,
+        open_job: OpenJob | None,
+        run_result: RunResult,
+        effects: list[Effect],
+    ) -> None:
+        """Records a result that no run waits for.
+
+        Explanation:
+            Runs of a job that has ended are stopped or returned.
+        """
+        if open_job is None:
+            if run_result.end in _ENDS_OF_STOPPED_JOBS:
+                return
+            job_end = self._jobs.find_end(run_result.task.job)
+            cause = f'job {job_end or "unknown or given up"}'
+        else:
+            task = open_job.tasks.get(run_result.task)
+            cause = 'task done'
+            if task is not None:
+                cause = f'run {task.run} at {task.agent or "no agent"}'
+        effects.append(Count('tasks', 'result ignored'))
+        effects.append(ignored_record(view, run_result, cause))
+
     def _handle_completed_task(
         self,
         view: AgentView,
--- a/packages/core/cactushead_core/dispatch/open_jobs.py
+++ b/packages/core/cactushead_core/dispatch/open_jobs.py
@@ -5,6 +5,7 @@
 from ..effects import Count, Effect, Respond, Send
 from ..tasks import CancelBestEffortJob, JobEnd, JobPhase, TaskRef
 from .agent_view import AgentView
+from .evidence import given_up_record
 from .job import OpenJob, OpenTask
 from .recent import RecentJobEnds
 from .responses import BestEffortEnded
@@ -122,7 +123,11 @@
         """
         job = open_job.job.job
         self._jobs.pop(job)
-        for agent in open_job.agents():
+        agents = open_job.agents()
+        if agents:
+            effects.append(Count('stopped_jobs', end.cause))
+            effects.append(given_up_record(open_job, end.cause, now_s))
+        for agent in agents:
             effects.append(Send(agent, CancelBestEffortJob(job)))
         for task in open_job.tasks.values():
             if task.agent in self._views:
