Log what becomes of an agent's runs that are stopped or given up

Cause: an agent logged the number of runs that ended with a lost owner or with its upstream, but not which; nothing when a job was cancelled or a stop was confirmed, and not on what evidence it took a run for ended. An offer of a task that it ran for another entry, and one of an earlier session, left no line.

Change: 'owner lost' and 'upstream gone' go on with the cause and the runs, each with its owner; new lines are 'job withdrawn', 'run stopped' (how it ended, how long ago it was told and confirmed), 'run end concluded' (an end that no list shows, with the evidence), 'task known' (once for each other entry) and 'offer discarded', and the counter offers with 'task known'. A turn writes at most 20 lines of ends, a line names at most 20 runs. Runs have the session of their offer.

--- a/packages/core/cactushead_core/fleet/tests/simulation.py
+++ b/packages/core/cactushead_core/fleet/tests/simulation.py
@@ -152,6 +152,7 @@
         history: Events at the fake upstreams.
         responses: Responses by request number.
         response_times_s: Times of the responses by request number.
+        logged: Names of processes, each with a record that it has logged.
     """
 
     def __init__(
@@ -172,6 +173,7 @@
         self.history = History()
         self.responses: dict[int, fx.Response] = {}
         self.response_times_s: dict[int, float] = {}
+        self.logged: list[tuple[str, fx.Record]] = []
         self.processes: dict[str, Process] = {}
         self.blocked_links: set[tuple[str, str]] = set()
         self._delayed: dict[tuple[str, str], list[Callable[[], None]]] = {}
@@ -436,6 +438,8 @@
             case fx.Respond():
                 self.responses[effect.request_id] = effect.response
                 self.response_times_s[effect.request_id] = self.now_s
+            case fx.Record(logged=True):
+                self.logged.append((process.member.name, effect))
             case Dial():
                 self._schedule(DELAY_S, lambda: self._dial(process, effect))
             case DropPeer():
--- a/packages/core/cactushead_core/leasing/incarnations.py
+++ b/packages/core/cactushead_core/leasing/incarnations.py
@@ -7,6 +7,7 @@
 from .calls import UpstreamCalls
 from .crashes import CrashReporter
 from .events import HeartbeatReceived, UpstreamDeregistered
+from .evidence import add_runs
 from .model import Heartbeat, UpstreamIdentity, UpstreamState
 from .outbox import Outbox
 from .reconciler import RunReconciler
@@ -167,7 +168,9 @@
             Record(
                 'upstream gone',
                 subject='' if known is None else known.identity.upstream,
-                detail=f'{cause}, {len(self._runs)} runs',
+                detail=add_runs(
+                    f'{cause}, {len(self._runs)} runs', self._runs.all()
+                ),
                 logged=True,
             ),
         )
--- a/packages/core/cactushead_core/leasing/lease_manager.py
+++ b/packages/core/cactushead_core/leasing/lease_manager.py
@@ -14,6 +14,7 @@
     StopCallCompleted,
     UpstreamDeregistered,
 )
+from .evidence import discarded_record, known_task_record
 from .incarnations import TOO_LARGE, Incarnations
 from .model import Heartbeat
 from .outbox import Outbox
@@ -151,12 +152,14 @@
         """
         if not self._sessions.accept_offer(sender, offer.session, offer.number):
             effects.append(Count('offers', 'earlier session'))
+            effects.append(discarded_record(sender, offer))
             return
         self._owners.offered(sender, now_s)
         for task_run in offer.runs:
             run = _make_run(sender, offer, task_run, now_s)
             rejection = self._find_rejection(run)
             if rejection:
+                self._record_known(run, effects)
                 self._outbox.add(run, RunEnd.RETURNED, now_s, rejection)
             else:
                 self.runs.add(run)
@@ -318,6 +321,20 @@
             return ''
         return f'run {known.run} of the task is {known.phase}'
 
+    def _record_known(self, run: LeasedRun, effects: list[Effect]) -> None:
+        """Records a rejected offer of a task that has a run here.
+
+        Explanation:
+            Its entry may offer the task again with each tick.
+        """
+        known = self.runs.find(run.task)
+        if known is None:
+            return
+        effects.append(Count('offers', 'task known'))
+        if known.contested_by != run.owner:
+            known.contested_by = run.owner
+            effects.append(known_task_record(run, known))
+
     def _start_queued(self, now_s: float, effects: list[Effect]) -> bool:
         """Starts queued runs; returns whether the upstream was idle before."""
         upstream = self.upstream
@@ -358,4 +375,5 @@
         now_s + offer.slack_s,
         offer.expected_s,
         offer.may_wait,
+        session=offer.session,
     )
--- a/packages/core/cactushead_core/leasing/outbox.py
+++ b/packages/core/cactushead_core/leasing/outbox.py
@@ -1,8 +1,10 @@
 """Collects run results until the end of an event-loop turn."""
 
-from ..effects import Effect, Send
+from ..effects import Effect, Record, Send
 from ..events import Peer
 from ..tasks import RunEnd, RunResult, RunsEnded
+from ..tasks.names import MAX_NAMED
+from .evidence import find_end_record
 from .runs import LeasedRun, RunTable
 
 
@@ -17,6 +19,8 @@
         """
         self._runs = runs
         self._results: dict[Peer, list[RunResult]] = {}
+        self._records: list[Record] = []
+        self._unrecorded = 0
 
     def add(
         self,
@@ -43,6 +47,7 @@
         end: RunEnd,
         now_s: float,
         cause: str,
+        evidence: str = '',
     ) -> None:
         """Removes a run from the table and adds its result.
 
@@ -51,12 +56,30 @@
             end: How it ended.
             now_s: The agent's clock.
             cause: Short text for logs.
+            evidence: What shows that it has ended, for logs; empty if the cause
+                does.
         """
+        record = find_end_record(run, end, evidence or cause, now_s)
+        if record is not None:
+            self._record(record)
         self._runs.remove(run)
         self.add(run, end, now_s, cause)
 
     def send(self, effects: list[Effect]) -> None:
-        """Sends all results to their owners."""
+        """Sends all results to their owners, after the records of ends."""
+        effects.extend(self._records)
+        if self._unrecorded:
+            more = f'{self._unrecorded} runs'
+            effects.append(Record('more runs ended', detail=more, logged=True))
+        self._records = []
+        self._unrecorded = 0
         for owner, results in self._results.items():
             effects.append(Send(owner.name, RunsEnded(tuple(results))))
         self._results = {}
+
+    def _record(self, record: Record) -> None:
+        """Keeps the records of the first runs that end in a turn."""
+        if len(self._records) < MAX_NAMED:
+            self._records.append(record)
+        else:
+            self._unrecorded += 1
--- a/packages/core/cactushead_core/leasing/owners.py
+++ b/packages/core/cactushead_core/leasing/owners.py
@@ -3,6 +3,7 @@
 from ..effects import Effect, Record
 from ..events import Peer, ProcessResumed
 from ..tasks import RunEnd
+from .evidence import add_runs, withdrawn_record
 from .ownership import OwnershipTimes
 from .runs import LeasedRun, Phase, RunTable
 from .sessions import Sessions
@@ -52,7 +53,8 @@
         for owner in self._times:
             if owner.name == peer.name and owner != peer:
                 self._times.remove(owner)
-                self._drop(owner, now_s, effects)
+                cause = f'restarted as {peer.incarnation}'
+                self._drop(owner, cause, now_s, effects)
 
     def disconnected(self, peer: Peer, now_s: float) -> None:
         """Starts the grace period of an entry's runs."""
@@ -78,9 +80,13 @@
         effects: list[Effect],
     ) -> None:
         """Removes queued runs of an owner's job and stops started ones."""
-        for run in self._runs.of_owner(owner):
-            if run.task.job == job:
-                self._cancel(run, 'withdrawn', now_s, effects)
+        runs = [
+            run for run in self._runs.of_owner(owner) if run.task.job == job
+        ]
+        if runs:
+            effects.append(withdrawn_record(owner, job, runs))
+        for run in runs:
+            self._cancel(run, 'withdrawn', now_s, effects)
 
     def expire(self, now_s: float, effects: list[Effect]) -> None:
         """Drops the runs whose owners may have placed them elsewhere.
@@ -95,12 +101,15 @@
         """
         for owner in self._times.expire(now_s):
             if self._runs.of_owner(owner):
-                self._drop(owner, now_s, effects)
+                linked = self._sessions.is_connected(owner)
+                cause = 'silent' if linked else 'without a link'
+                self._drop(owner, cause, now_s, effects)
                 self._sessions.renew(owner)
 
     def _drop(
         self,
         owner: Peer,
+        cause: str,
         now_s: float,
         effects: list[Effect],
     ) -> None:
@@ -109,7 +118,7 @@
             Record(
                 'owner lost',
                 subject=owner.name,
-                detail=f'{len(runs)} runs end',
+                detail=add_runs(f'{len(runs)} runs end; {cause}', runs),
                 logged=True,
             ),
         )
--- a/packages/core/cactushead_core/leasing/reconciler.py
+++ b/packages/core/cactushead_core/leasing/reconciler.py
@@ -123,7 +123,7 @@
             ran_s = now_s - run.start_sent_s
             effects.append(Measure('run_s', ran_s))
             self.mean_run_s += MEAN_RUN_WEIGHT * (ran_s - self.mean_run_s)
-        self._outbox.finish(run, end, now_s, run.cause)
+        self._outbox.finish(run, end, now_s, run.cause, 'its end is listed')
 
     def _compare_running(
         self,
@@ -165,7 +165,8 @@
         elif run.phase is Phase.STARTING and 0 < run.unanswered_s < sent_s:
             self._stop_calls.mark_stopping(run, None, 'not started', now_s)
         elif run.phase is Phase.STOPPING and 0 < run.stop_confirmed_s < sent_s:
-            self._outbox.finish(run, run.end or RunEnd.LOST, now_s, run.cause)
+            end = run.end or RunEnd.LOST
+            self._outbox.finish(run, end, now_s, run.cause, 'not listed')
 
     def _stop_stalled(
         self,
--- a/packages/core/cactushead_core/leasing/runs.py
+++ b/packages/core/cactushead_core/leasing/runs.py
@@ -50,6 +50,9 @@
         end: End reported to the owner once a stopping run is gone; None to
             report the end that the upstream lists.
         cause: Why it is being stopped.
+        stop_asked_s: When it was marked for stopping.
+        session: Session of the offer.
+        contested_by: Entry whose offer of the task was turned down last.
     """
 
     owner: Peer
@@ -71,6 +74,9 @@
     progress_ms: int = 0
     end: RunEnd | None = None
     cause: str = ''
+    stop_asked_s: float = 0.0
+    session: int = 0
+    contested_by: Peer | None = None
 
 
 class RunTable:
--- a/packages/core/cactushead_core/leasing/sessions.py
+++ b/packages/core/cactushead_core/leasing/sessions.py
@@ -70,6 +70,11 @@
         """Removes an entry."""
         self._sessions.pop(peer.name, None)
 
+    def is_connected(self, peer: Peer) -> bool:
+        """Returns whether there is a link to this incarnation of an entry."""
+        session = self._sessions.get(peer.name)
+        return session is not None and session.entry == peer
+
     def renew(self, peer: Peer) -> None:
         """Ends the session with an entry; the next report begins another."""
         session = self._sessions.get(peer.name)
--- a/packages/core/cactushead_core/leasing/stop_calls.py
+++ b/packages/core/cactushead_core/leasing/stop_calls.py
@@ -45,6 +45,7 @@
         run.cause = cause
         run.end = end
         run.stop_due_s = now_s
+        run.stop_asked_s = now_s
 
     def call_if_due(
         self,
