--- a/packages/core/cactushead_core/leasing/tests/test_evidence.py
+++ b/packages/core/cactushead_core/leasing/tests/test_evidence.py
@@ -33,8 +33,7 @@
         'j1.0.0',
     )
     assert records[0].detail == (
-        'run 1 of e0 in session 4: lapsed, lease lapsed;'
-        ' start call 0.500 s ago'
+        'run 1 of e0 in session 4: lapsed, lease lapsed; start call 0.500 s ago'
     )
     assert (more.kind, more.detail) == ('more runs ended', '10 runs')
     assert len(send.message.results) == 30
