Show tasks that run twice at upstreams that refuse connections

An agent takes a refused connection for the end of its upstream and reports its runs as ended at once.

--- a/packages/core/cactushead_core/fleet/tests/simulation.py
+++ b/packages/core/cactushead_core/fleet/tests/simulation.py
@@ -256,6 +256,25 @@
         for step in deferred:
             step()
 
+    def refuse(self, name: str) -> None:
+        """Closes the port and connections of an agent's upstream.
+
+        Explanation:
+            Its runs go on, and it sends heartbeats.
+        """
+        process = self.processes[name]
+        assert process.upstream is not None
+        process.upstream.refuses = True
+        identity = process.upstream.identity
+        closed = RenewalFailed(0, identity, False, False, 'closed')
+        self._feed_event(process, closed)
+
+    def listen(self, name: str) -> None:
+        """Opens the port of an agent's upstream again."""
+        process = self.processes[name]
+        assert process.upstream is not None
+        process.upstream.refuses = False
+
     def partition(self, ones: list[str], others: list[str]) -> None:
         """Drops all traffic between two groups without closing links."""
         for one in ones:
--- a/packages/core/cactushead_core/fleet/tests/upstream.py
+++ b/packages/core/cactushead_core/fleet/tests/upstream.py
@@ -81,6 +81,7 @@
         address: Address at which it accepts calls.
         silent_addresses: Addresses that accept calls and answer none.
         down: Whether it has crashed.
+        refuses: Whether it refuses connections while its runs go on.
         lists_crashes: Whether what lists the runs outlives a crash.
     """
 
@@ -107,6 +108,7 @@
         self.history = history
         self.running: dict[TaskRef, FakeRun] = {}
         self.down = False
+        self.refuses = False
         self.draining = False
         self.started_ms = 1
         self.needs: dict[TaskRef, Resources] = {}
@@ -129,6 +131,7 @@
         """Whether a call is for this upstream and reaches it."""
         return (
             not self.down
+            and not self.refuses
             and call.address == self.address
             and call.upstream.upstream == self.name
         )
