End the runs of an upstream that refuses connections with their leases

Cause: a refused renewal was taken for the end of the upstream, so that its runs were reported as crashed at once. It shows only that nothing listens at that moment; with the port closed for a moment the runs go on, end `done`, and overlap with those that were placed elsewhere.

Change: a refusal ends no run. The agent reports its upstream as not ready, returns what is queued, and lists every `retry_s` without waiting. The runs end when another incarnation answers, or when all leases have lapsed. A renewal that was not sent no longer defers the lapse (`RenewalFailed.sent`); that holds for connects that time out, too. An upstream without runs is given up at once, as before.

The simulation tells a refused connection from an answer of another incarnation. A lost call to an upstream that is down counts as lost, not as refused, and a renewal that was sent before the crash as unanswered.

--- a/packages/core/cactushead_core/fleet/tests/simulation.py
+++ b/packages/core/cactushead_core/fleet/tests/simulation.py
@@ -124,6 +124,7 @@
         upstream: The fake upstream of an agent.
         peers: Start counts of the processes to which it has a link.
         deferred: Steps to execute when it is resumed.
+        closed_s: When its upstream has closed all connections.
     """
 
     member: MemberAddress
@@ -134,6 +135,7 @@
     upstream: FakeUpstream | None = None
     peers: dict[str, int] = field(default_factory=dict)
     deferred: list[Callable[[], None]] = field(default_factory=list)
+    closed_s: float = 0.0
 
     @property
     def peer(self) -> Peer:
@@ -265,6 +267,13 @@
         process = self.processes[name]
         assert process.upstream is not None
         process.upstream.refuses = True
+        self.close_calls(name)
+
+    def close_calls(self, name: str) -> None:
+        """Closes the connection on which an agent's renewal waits."""
+        process = self.processes[name]
+        assert process.upstream is not None
+        process.closed_s = self.now_s
         identity = process.upstream.identity
         closed = RenewalFailed(0, identity, False, False, 'closed')
         self._feed_event(process, closed)
@@ -584,10 +593,12 @@
             self._schedule(
                 late_s, lambda: _execute_call(upstream, call, 0, self.now_s)
             )
-        silent = call.address in upstream.silent_addresses
+        silent = late_s is not None or call.address in upstream.silent_addresses
         refused = not silent and not upstream.accepts(call)
-        if late_s is not None or silent or refused:
-            failed = _failed_call_event(call, refused=refused)
+        if silent or refused:
+            failed = _failed_call_event(
+                call, refused=refused, sent=silent or upstream.listens(call)
+            )
             delay_s = CALL_S if refused else CALL_TIMEOUT_S
             self._schedule(
                 delay_s,
@@ -597,14 +608,14 @@
         wait_s = CALL_S
         if isinstance(call, RenewLeases):
             wait_s = self._time_to_end(upstream, call)
-        self._schedule(
-            wait_s,
-            lambda: self._deliver_answer(
-                process,
-                start_count,
-                _execute_call(upstream, call, sent_s, self.now_s),
-            ),
-        )
+
+        def answer() -> None:
+            if isinstance(call, RenewLeases) and sent_s < process.closed_s:
+                return
+            event = _execute_call(upstream, call, sent_s, self.now_s)
+            self._deliver_answer(process, start_count, event)
+
+        self._schedule(wait_s, answer)
         if isinstance(call, StartLeased):
             # A crash by the task happens in time.
             self._schedule(CALL_S + CRASH_DELAY_S, lambda: None)
@@ -657,7 +668,9 @@
     now_s: float,
 ) -> Event:
     if not upstream.accepts(call):
-        return _failed_call_event(call, refused=True)
+        # A renewal was sent before; its connection has been closed.
+        refused = not isinstance(call, RenewLeases)
+        return _failed_call_event(call, refused=refused)
     if isinstance(call, StartLeased):
         return upstream.start(call, now_s)
     if isinstance(call, StopLeased):
@@ -669,6 +682,7 @@
     call: StartLeased | StopLeased | RenewLeases,
     *,
     refused: bool,
+    sent: bool = True,
 ) -> Event:
     if isinstance(call, StartLeased):
         answer = StartAnswer.REFUSED if refused else StartAnswer.UNKNOWN
@@ -681,4 +695,4 @@
             call.run,
             confirmed=False,
         )
-    return RenewalFailed(0, call.upstream, refused, False, 'no answer')
+    return RenewalFailed(0, call.upstream, refused, False, 'no answer', sent)
--- a/packages/core/cactushead_core/fleet/tests/test_refused_connections.py
+++ b/packages/core/cactushead_core/fleet/tests/test_refused_connections.py
@@ -58,6 +58,34 @@
     assert_invariants(world)
 
 
+# Guards against waiting for leases that refused renewals seem to extend, and
+# for the lapse of the leases although a list shows the restart.
+@pytest.mark.parametrize(
+    ('down_s', 'within_s'), [(0.1, 0.3), (0.4, 0.6), (5.0, 1.3)]
+)
+def test_runs_of_a_crashed_upstream_start_again(down_s, within_s):
+    world = start_world(1.5)
+    for number in range(4):
+        world.submit(f'e{number}', count=4)
+    world.run(0.4)
+    crashed_s = world.now_s
+    upstream = world.processes['a0'].upstream
+    tasks = set(upstream.running)
+    upstream.crash()
+    world.close_calls('a0')
+    world.run(down_s)
+    upstream.restart()
+    world.run(6)
+    again = {
+        task
+        for at_s, task, _ in world.history.starts
+        if crashed_s < at_s < crashed_s + within_s
+    }
+    assert tasks
+    assert tasks <= again
+    assert_invariants(world)
+
+
 # Guards against overlaps of runs at the moments that the cases above leave out.
 @pytest.mark.parametrize('seed', range(8))
 def test_no_task_runs_twice_at_upstreams_that_refuse_connections(seed):
--- a/packages/core/cactushead_core/fleet/tests/upstream.py
+++ b/packages/core/cactushead_core/fleet/tests/upstream.py
@@ -127,15 +127,16 @@
         """Its current incarnation."""
         return UpstreamIdentity(self.name, self.started_ms)
 
-    def accepts(self, call: StartLeased | StopLeased | RenewLeases) -> bool:
-        """Whether a call is for this upstream and reaches it."""
+    def listens(self, call: StartLeased | StopLeased | RenewLeases) -> bool:
+        """Whether a call reaches this upstream."""
         return (
-            not self.down
-            and not self.refuses
-            and call.address == self.address
-            and call.upstream.upstream == self.name
+            not self.down and not self.refuses and call.address == self.address
         )
 
+    def accepts(self, call: StartLeased | StopLeased | RenewLeases) -> bool:
+        """Whether a call is for this upstream and reaches it."""
+        return self.listens(call) and call.upstream.upstream == self.name
+
     def heartbeat(self, now_s: float, service: str) -> HeartbeatReceived:
         """Returns its next heartbeat."""
         self._sequence += 1
--- a/packages/core/cactushead_core/leasing/calls.py
+++ b/packages/core/cactushead_core/leasing/calls.py
@@ -26,8 +26,8 @@
             renewal has acknowledged it.
         renewal_pending: Whether a renewal awaits its answer.
         next_renewal_s: Earliest time of the next renewal.
-        latest_lease_end_s: Time by which every lease requested so far has
-            expired, by the agent's clock.
+        latest_lease_end_s: Time by which every lease that may have been granted
+            has expired, by the agent's clock.
     """
 
     def __init__(self, settings: LeasingSettings) -> None:
@@ -45,6 +45,8 @@
         self._settings = settings
         self._token = settings.token
         self._stop_requested_s: dict[TaskRef, float] = {}
+        # That without the newest renewal.
+        self._earlier_lease_end_s = 0.0
 
     @property
     def has_unknown_runs(self) -> bool:
@@ -76,13 +78,15 @@
         now_s: float,
     ) -> StartLeased:
         """Returns the call that starts a run."""
+        lease_end_ms = self._lease_end_ms(now_s)
+        self._earlier_lease_end_s = self.latest_lease_end_s
         return StartLeased(
             upstream.identity,
             upstream.address,
             run.task,
             run.run,
             run.payload,
-            self._lease_end_ms(now_s),
+            lease_end_ms,
             self._token,
         )
 
@@ -124,6 +128,7 @@
             wait_s: How long the upstream may delay its answer until a run ends.
         """
         self.renewal_pending = True
+        self._earlier_lease_end_s = self.latest_lease_end_s
         lease_end_ms = UNKNOWN_MS
         if self.clock.known and not idle:
             lease_end_ms = self._lease_end_ms(now_s)
@@ -138,6 +143,10 @@
             self._token,
         )
 
+    def renewal_not_sent(self) -> None:
+        """Discards the lease end of the newest renewal."""
+        self.latest_lease_end_s = self._earlier_lease_end_s
+
     def stop_unknown_runs(
         self,
         unknown_runs: Iterable[tuple[TaskRef, int]],
--- a/packages/core/cactushead_core/leasing/events.py
+++ b/packages/core/cactushead_core/leasing/events.py
@@ -99,9 +99,17 @@
             answered.
         fenced: Whether the upstream has seen a higher fencing token.
         cause: Short text for logs.
+        sent: Whether the call may have been sent. One that was not has renewed
+            no lease.
     """
 
     upstream: UpstreamIdentity
     refused: bool
     fenced: bool
     cause: str
+    sent: bool = True
+
+    @property
+    def replaced(self) -> bool:
+        """Whether another incarnation answered."""
+        return self.refused and self.sent
--- a/packages/core/cactushead_core/leasing/incarnations.py
+++ b/packages/core/cactushead_core/leasing/incarnations.py
@@ -23,10 +23,10 @@
     Explanation:
         Anyone may send a heartbeat, and one may be late. So a heartbeat of
         another incarnation doesn't show that the known one has ended. Only the
-        upstream itself does, or its leases: its address refuses connections or
-        belongs to another incarnation, its list names a later start, or it is
-        silent until all leases have lapsed. Until then the heartbeat is kept as
-        that of a possible successor.
+        upstream itself does, or its leases: its address belongs to another
+        incarnation, its list names a later start, or it refuses connections or
+        is silent until all leases have lapsed. Until then the heartbeat is kept
+        as that of a possible successor.
 
     Attributes:
         draining: Whether the agent accepts no more tasks.
@@ -74,6 +74,7 @@
         """Whether new tasks may start."""
         return (
             self._tracker.accepts_tasks
+            and not self._tracker.refuses
             and not self.draining
             and not self.evacuated
         )
@@ -151,6 +152,24 @@
             self._tracker.upstream = successor.heartbeat
         return True
 
+    def refused(self, cause: str, now_s: float, effects: list[Effect]) -> None:
+        """Starts no more runs; ends those there once their leases have lapsed.
+
+        Explanation:
+            An upstream whose port is closed may go on with its runs.
+
+        Args:
+            cause: Short text for logs.
+            now_s: The agent's clock.
+            effects: List to which effects are appended.
+        """
+        lapsed = now_s > self._calls.latest_lease_end_s
+        if lapsed or not self._runs.at_upstream():
+            self.end(cause, now_s, effects)
+        elif not self._tracker.refuses:
+            self._tracker.refuses = True
+            self.report_change(now_s)
+
     def end(self, cause: str, now_s: float, effects: list[Effect]) -> None:
         """Ends all runs, since the upstream incarnation ended.
 
--- a/packages/core/cactushead_core/leasing/renewals.py
+++ b/packages/core/cactushead_core/leasing/renewals.py
@@ -61,6 +61,9 @@
         if self._incarnations.adopt(event.upstream, effects):
             self._incarnations.report_change(event.now_s)
         self._tracker.answered = True
+        if self._tracker.refuses:
+            self._tracker.refuses = False
+            self._incarnations.report_change(event.now_s)
         if self._reconciler.crashed is None:
             self._crash_reporter.answered()
         self._calls.clock.observe(event.clock_ms, event.now_s)
@@ -97,20 +100,19 @@
         )
         if event.fenced:
             self._calls.raise_token(effects)
+        if not event.sent:
+            self._calls.renewal_not_sent()
         # The first retry is immediate, since the connection may have been
         # closed by a crash.
         first = self._crash_reporter.renewal_failed(event.now_s)
         pause_s = 0.0 if first else self._settings.retry_s
         self._calls.next_renewal_s = event.now_s + pause_s
-        if event.refused:
+        if event.replaced:
             self._incarnations.end(event.cause, event.now_s, effects)
+        elif event.refused:
+            self._incarnations.refused(event.cause, event.now_s, effects)
         elif event.now_s > self._calls.latest_lease_end_s:
-            self._crash_reporter.leases_lapsed(self._runs.at_upstream())
-            self._incarnations.finish_all(
-                RunEnd.LEASE_EXPIRED, 'lease lapsed', event.now_s
-            )
-            if self._incarnations.has_successor and not first:
-                self._incarnations.end('silent', event.now_s, effects)
+            self._leases_lapsed(event.now_s, effects, first=first)
         self.renew_if_due(event.now_s, effects)
 
     def renew_now(self, now_s: float, effects: list[Effect]) -> None:
@@ -125,7 +127,12 @@
         if upstream is None or calls.renewal_pending:
             return
         if now_s >= calls.next_renewal_s:
-            waits = self._tracker.reconciled and not self.quiet
+            # The first list after a refusal shows whether it has restarted.
+            waits = (
+                self._tracker.reconciled
+                and not self.quiet
+                and not self._tracker.refuses
+            )
             wait_s = self._settings.renew_wait_s if waits else 0.0
             renewal = calls.renew(
                 upstream,
@@ -134,3 +141,14 @@
                 wait_s=wait_s,
             )
             effects.append(renewal)
+
+    def _leases_lapsed(
+        self, now_s: float, effects: list[Effect], *, first: bool
+    ) -> None:
+        """Ends the runs of a silent upstream; follows its successor."""
+        self._crash_reporter.leases_lapsed(self._runs.at_upstream())
+        self._incarnations.finish_all(
+            RunEnd.LEASE_EXPIRED, 'lease lapsed', now_s
+        )
+        if self._incarnations.has_successor and not first:
+            self._incarnations.end('silent', now_s, effects)
--- a/packages/core/cactushead_core/leasing/upstream_tracker.py
+++ b/packages/core/cactushead_core/leasing/upstream_tracker.py
@@ -16,6 +16,7 @@
         reconciled: Whether a list of its runs contained only runs that the
             agent knows.
         answered: Whether it has listed its runs.
+        refuses: Whether it has refused a connection since its last answer.
     """
 
     def __init__(self, longest_lease_s: float) -> None:
@@ -28,6 +29,7 @@
         self.upstream: Heartbeat | None = None
         self.reconciled = False
         self.answered = False
+        self.refuses = False
         self._earlier_runs_ended = False
         self._longest_lease_s = longest_lease_s
         self._first_checked_s: float | None = None
@@ -118,6 +120,7 @@
         self.upstream = heartbeat
         self.reconciled = False
         self.answered = False
+        self.refuses = False
 
     def update_incarnation(self, identity: UpstreamIdentity) -> bool:
         """Switches to another incarnation with the same id.
--- a/packages/node/cactushead_node/connections.py
+++ b/packages/node/cactushead_node/connections.py
@@ -26,12 +26,12 @@
     read_s: float
 
 
-def is_refused(error: httpcore.ConnectError) -> bool:
+def is_refused(error: Exception) -> bool:
     """Whether an error shows that nothing listens at an address.
 
     Explanation:
         Others, such as a lack of file descriptors in this process, say nothing
-        about the server.
+        about the server. It may still run with its port closed.
 
     Args:
         error: The error of the attempt to connect.
