Place nothing after a pause before all callers are read

A caller whose request or result an entry reads after a pause may have left during the pause, and another entry may run its job. The entry placed the tasks as soon as it read the one, and learned the other only afterwards.

The dispatcher now places nothing until three ticks after a pause. It applies to all three places that place tasks: new requests, results and retries.

--- a/packages/core/cactushead_core/dispatch/dispatcher.py
+++ b/packages/core/cactushead_core/dispatch/dispatcher.py
@@ -44,6 +44,9 @@
 _NEVER_STARTED = frozenset((RunEnd.RETURNED, RunEnd.NO_CAPACITY))
 # Results of the runs of a job that was stopped, which nobody awaits.
 _ENDS_OF_STOPPED_JOBS = _NEVER_STARTED | {RunEnd.STOPPED}
+# Number of ticks after a pause of the process by which all connections that
+# were closed meanwhile are read.
+UNREAD_TICKS = 3
 
 
 class Dispatcher:
@@ -75,6 +78,7 @@
             seed: Seed of the jitter in the default policy.
             find_entries: Returns the names of the connected entries.
         """
+        self._unread_ticks = 0
         self._times = RunTimes()
         self._admission = Admission(settings, self._times)
         self.agents = AgentViews(settings.agent_removal_s)
@@ -126,6 +130,16 @@
         """
         return self._jobs.pending(queue)
 
+    def resumed(self) -> None:
+        """Defers all placement after a pause of this process.
+
+        Explanation:
+            A caller whose request or result is read now may have left during
+            the pause and sent its job to another entry. Its connection may be
+            read last.
+        """
+        self._unread_ticks = UNREAD_TICKS
+
     # Requests of callers.
 
     def on_submitted(
@@ -161,6 +175,9 @@
             self.crashing_jobs.give_up(open_job, now_s, effects)
             return
         open_job.open_steps()
+        if self._unread_ticks:
+            self._jobs.add(open_job)
+            return
         plan = self._planner.plan(open_job, now_s)
         refusal = self._find_refusal(open_job, plan, now_s)
         if refusal is not None:
@@ -261,13 +278,14 @@
     def tick(self, now_s: float, effects: list[Effect]) -> None:
         """Removes lost agents, ends expired jobs and retries placement."""
         self._admission.tick(now_s)
+        self._unread_ticks = max(self._unread_ticks - 1, 0)
         for view in self.agents.expired(now_s):
             self._remove_agent(view, now_s, effects)
         for open_job in self._jobs:
             if now_s >= open_job.caller_deadline_s:
                 end = BestEffortEnded(JobEnd.ABANDONED, 'deadline passed')
                 self._jobs.end(open_job, end, now_s, effects)
-            elif any(open_job.unplaced()):
+            elif not self._unread_ticks and any(open_job.unplaced()):
                 self._retry_placement(open_job, now_s, effects)
         self._jobs.tick(now_s)
         self._containment.tick(now_s)
@@ -322,6 +340,8 @@
         effects: list[Effect],
     ) -> None:
         """Offers all tasks that are not offered to any agent."""
+        if self._unread_ticks:
+            return
         plan = self._planner.plan(open_job, now_s)
         effects.extend(offer_planned(open_job, plan, now_s))
 
--- a/packages/core/cactushead_core/fleet/entry.py
+++ b/packages/core/cactushead_core/fleet/entry.py
@@ -168,7 +168,7 @@
             case Tick():
                 self._on_tick(event, effects)
             case ProcessResumed():
-                self.discovery.resumed(now_s)
+                self._on_resumed(now_s)
             case PeerConnected():
                 self._on_peer_connected(event, effects)
             case PeerLost():
@@ -345,6 +345,10 @@
         if event.peer.role is PeerRole.AGENT:
             self.dispatcher.agents.lost(event.peer, event.now_s)
 
+    def _on_resumed(self, now_s: float) -> None:
+        self.discovery.resumed(now_s)
+        self.dispatcher.resumed()
+
     def _on_drain_requested(self, effects: list[Effect]) -> None:
         if self.dispatcher.draining:
             return
