Number sessions above those of an agent's earlier incarnations

An entry addresses an agent by its name. An offer made before the entry handles the loss of the agent, in the turn in which a new incarnation has connected, leaves on the new link. Each incarnation numbered its sessions from 1, so it could accept the offer; its first report, sent before, doesn't list the task, and the entry places it again while it runs. Neither run is stopped.

Sessions are now numbered above the first fencing token, which is higher in each incarnation.

--- a/packages/core/cactushead_core/leasing/lease_manager.py
+++ b/packages/core/cactushead_core/leasing/lease_manager.py
@@ -53,7 +53,9 @@
         max_duration_s = self._calls.clock.max_duration_s(settings.lease_s)
         self._tracker = UpstreamTracker(max_duration_s)
         self._stop_calls = StopCalls(self._calls, settings.retry_s)
-        self._sessions = Sessions(self.runs, settings.load_interval_s)
+        self._sessions = Sessions(
+            self.runs, settings.token, settings.load_interval_s
+        )
         self._outbox = Outbox(self.runs)
         crash_reporter = CrashReporter(self._outbox, self._sessions)
         self._reconciler = RunReconciler(
--- a/packages/core/cactushead_core/leasing/sessions.py
+++ b/packages/core/cactushead_core/leasing/sessions.py
@@ -44,22 +44,27 @@
     """Sends reports to all connected entries.
 
     Explanation:
-        Session numbers increase while the agent runs, so an offer based on
-        an earlier report is never attributed to a later session.
+        Session numbers increase while the agent runs, and begin above those of
+        its earlier incarnations, so an offer based on an earlier report is
+        never attributed to a later session. An entry may send such an offer to
+        a new incarnation, since it addresses the agent by its name.
     """
 
-    def __init__(self, runs: RunTable, load_interval_s: float) -> None:
+    def __init__(
+        self, runs: RunTable, base: int, load_interval_s: float
+    ) -> None:
         """Initializes the table without entries.
 
         Args:
             runs: The agent's runs.
+            base: Number above which sessions are numbered.
             load_interval_s: Minimum interval between two load messages to
                 an entry to which nothing else is sent.
         """
         self._runs = runs
         self._load_interval_s = load_interval_s
         self._sessions: dict[str, _Session] = {}
-        self._last_session = 0
+        self._last_session = base
 
     def connected(self, peer: Peer) -> None:
         """Adds an entry that has connected."""
--- a/packages/core/cactushead_core/leasing/settings.py
+++ b/packages/core/cactushead_core/leasing/settings.py
@@ -14,7 +14,8 @@
     Attributes:
         name: Name of the process.
         lease_s: Longest lease that the upstream grants.
-        token: First fencing token; higher in each incarnation of the agent.
+        token: First fencing token, above which sessions are numbered too;
+            higher in each incarnation of the agent.
         drift: Largest relative error of the upstream's clock.
         renew_wait_s: How long a renewal waits for a run to end; a quarter of
             the lease, which tolerates three lost renewals.
