Keep results of an earlier instance of a job from a later one

An entry that opens a job again, because its caller left and sent it again, numbered the runs from 1 anew. A result of the earlier instance that was still on its way, or unread after a pause, ended run 1 of the later one: the entry placed the task at a second agent, while the first one accepted the offer. Neither run is stopped.

An entry now numbers the runs of a job above those of its earlier instances, as long as late messages are expected. An agent sends results only to the incarnation of the entry that offered the runs, since messages are addressed by name and another incarnation numbers its runs from 1 too.

--- a/packages/core/cactushead_core/dispatch/dispatcher.py
+++ b/packages/core/cactushead_core/dispatch/dispatcher.py
@@ -169,7 +169,8 @@
             end = BestEffortEnded(earlier, 'sent again')
             effects.append(Respond(event.request_id, end))
             return
-        open_job = OpenJob(job, event.request_id, now_s)
+        earlier_runs = self._jobs.find_earlier_runs(job.job)
+        open_job = OpenJob(job, event.request_id, now_s, earlier_runs)
         if self._containment.is_crashing(job.job):
             self._jobs.add(open_job)
             self.crashing_jobs.give_up(open_job, now_s, effects)
--- a/packages/core/cactushead_core/dispatch/job.py
+++ b/packages/core/cactushead_core/dispatch/job.py
@@ -12,7 +12,8 @@
 
     Attributes:
         ref: Identity of the task.
-        run: Number of the latest run, 0 before the first.
+        run: Number of the latest run; before the first, the highest number
+            of an earlier instance of the job, 0 for none.
         failures: Number of failed runs.
         agent: Name of the agent to which the task is offered; empty for none.
         expected_s: Expected run time at the time of the offer.
@@ -41,6 +42,7 @@
         tasks: Tasks of the opened steps that have not completed.
         offered: Whether any task was ever offered to an agent.
         has_run: Whether any task has or may have run.
+        newest_run: Highest run number of any task.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         job: BestEffortJob,
         request_id: int,
         now_s: float,
+        earlier_runs: int = 0,
     ) -> None:
         """Starts without opened steps.
 
@@ -55,6 +58,8 @@
             job: The job.
             request_id: Id of the caller's request.
             now_s: The monotonic clock of the process.
+            earlier_runs: Highest run number of an earlier instance of the job;
+                its late results are not taken for those of this one.
         """
         self.job = job
         self.arrived_s = now_s
@@ -62,6 +67,8 @@
         self.tasks: dict[TaskRef, OpenTask] = {}
         self.offered = False
         self.has_run = False
+        self.newest_run = earlier_runs
+        self._earlier_runs = earlier_runs
         self._remaining = [step.count for step in job.steps]
         self._opened_steps: set[int] = set()
 
@@ -96,7 +103,7 @@
             self._opened_steps.add(number)
             for index in range(step.count):
                 ref = TaskRef(self.job.job, number, index)
-                self.tasks[ref] = OpenTask(ref)
+                self.tasks[ref] = OpenTask(ref, self._earlier_runs)
         return opened
 
     def unplaced(self) -> Iterator[OpenTask]:
--- a/packages/core/cactushead_core/dispatch/offers.py
+++ b/packages/core/cactushead_core/dispatch/offers.py
@@ -32,6 +32,7 @@
         task = planned.task
         task.agent = planned.choice.agent.name
         task.run += 1
+        open_job.newest_run = max(open_job.newest_run, task.run)
         task.expected_s = planned.expected_s
         # If free capacity is expected, a task that finds none is returned
         # immediately and placed elsewhere instead of queueing.
--- a/packages/core/cactushead_core/dispatch/open_jobs.py
+++ b/packages/core/cactushead_core/dispatch/open_jobs.py
@@ -7,7 +7,7 @@
 from .agent_view import AgentView
 from .evidence import given_up_record
 from .job import OpenJob, OpenTask
-from .recent import RecentJobEnds
+from .recent import RecentJobEnds, RecentRuns
 from .responses import BestEffortEnded
 
 
@@ -28,6 +28,7 @@
         self._views = views
         self._jobs: dict[str, OpenJob] = {}
         self._recent = RecentJobEnds(retention_s)
+        self._recent_runs = RecentRuns(retention_s)
 
     def __len__(self) -> int:
         """Returns the number of open jobs."""
@@ -53,6 +54,14 @@
         """
         return self._recent.find(job)
 
+    def find_earlier_runs(self, job: str) -> int:
+        """Returns the highest run number of a recent job, 0 if unknown.
+
+        Args:
+            job: Id of the job.
+        """
+        return self._recent_runs.find(job)
+
     def find_task(
         self,
         view: AgentView,
@@ -138,11 +147,14 @@
         )
         if end.end is not JobEnd.ABANDONED:
             self._recent.add(job, end.end, now_s)
+        if open_job.newest_run:
+            self._recent_runs.add(job, open_job.newest_run, now_s)
 
     def tick(self, now_s: float) -> None:
-        """Forgets the final states that are too old.
+        """Forgets the final states and run numbers that are too old.
 
         Args:
             now_s: The monotonic clock of the process.
         """
         self._recent.evict_expired(now_s)
+        self._recent_runs.evict_expired(now_s)
--- a/packages/core/cactushead_core/leasing/lease_manager.py
+++ b/packages/core/cactushead_core/leasing/lease_manager.py
@@ -277,7 +277,7 @@
             self._renewals.renew_now(now_s, effects)
         # Results are sent before reports: an entry expects no result of a task
         # that is missing from a report.
-        self._outbox.send(effects)
+        self._outbox.send(self._sessions, effects)
         if not self._tracker.knows_all_runs(now_s):
             return
         self._sessions.report(
--- a/packages/core/cactushead_core/leasing/outbox.py
+++ b/packages/core/cactushead_core/leasing/outbox.py
@@ -6,6 +6,7 @@
 from ..tasks.names import MAX_NAMED
 from .evidence import find_end_record
 from .runs import LeasedRun, RunTable
+from .sessions import Sessions
 
 
 class Outbox:
@@ -65,8 +66,17 @@
         self._runs.remove(run)
         self.add(run, end, now_s, cause)
 
-    def send(self, effects: list[Effect]) -> None:
-        """Sends all results to their owners, after the records of ends."""
+    def send(self, sessions: Sessions, effects: list[Effect]) -> None:
+        """Sends all results to their owners, after the records of ends.
+
+        Explanation:
+            Messages are addressed by name, so those for an entry that has ended
+            would reach its next incarnation. They are dropped.
+
+        Args:
+            sessions: The agent's sessions with entries.
+            effects: List to which effects are appended.
+        """
         effects.extend(self._records)
         if self._unrecorded:
             more = f'{self._unrecorded} runs'
@@ -74,7 +84,8 @@
         self._records = []
         self._unrecorded = 0
         for owner, results in self._results.items():
-            effects.append(Send(owner.name, RunsEnded(tuple(results))))
+            if sessions.is_connected(owner):
+                effects.append(Send(owner.name, RunsEnded(tuple(results))))
         self._results = {}
 
     def _record(self, record: Record) -> None:
--- a/packages/core/cactushead_core/leasing/sessions.py
+++ b/packages/core/cactushead_core/leasing/sessions.py
@@ -76,7 +76,7 @@
         self._sessions.pop(peer.name, None)
 
     def is_connected(self, peer: Peer) -> bool:
-        """Returns whether there is a link to this incarnation of an entry."""
+        """Whether there is a link to this incarnation of an entry."""
         session = self._sessions.get(peer.name)
         return session is not None and session.entry == peer
 
--- a/packages/core/cactushead_core/leasing/tests/test_evidence.py
+++ b/packages/core/cactushead_core/leasing/tests/test_evidence.py
@@ -3,6 +3,7 @@
 from cactushead_core.events import Peer, PeerRole
 from cactushead_core.leasing.outbox import Outbox
 from cactushead_core.leasing.runs import LeasedRun, RunTable
+from cactushead_core.leasing.sessions import Sessions
 from cactushead_core.tasks import Resources, RunEnd, TaskRef
 
 OWNER = Peer('e0', PeerRole.ENTRY, 'e0/1')
@@ -19,8 +20,10 @@
         runs.add(run)
         runs.mark_started(run, 1.0)
         outbox.finish(run, end, 1.5, 'lease lapsed')
+    sessions = Sessions(runs, 0, 0.1)
+    sessions.connected(OWNER)
     effects = []
-    outbox.send(effects)
+    outbox.send(sessions, effects)
     return effects
 
 
