Record the runs of the fake upstreams, with their ends

The history listed only the tasks that overlapped. For a pair of runs it now gives both ends and for how long they overlapped, to compare with a record of the field.

--- a/packages/core/cactushead_core/fleet/tests/upstream.py
+++ b/packages/core/cactushead_core/fleet/tests/upstream.py
@@ -51,6 +51,45 @@
     stalled_percent: int = -1
 
 
+@dataclass(slots=True)
+class RunRecord:
+    """A run as its fake upstream saw it.
+
+    Attributes:
+        task: The task.
+        upstream: Name of the fake upstream.
+        began_s: When it began.
+        ended_s: When it ended; infinity while it runs.
+        end: How it ended; None while it runs.
+    """
+
+    task: TaskRef
+    upstream: str
+    began_s: float
+    ended_s: float = float('inf')
+    end: RunEnd | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Overlap:
+    """Two runs of a task at the same time.
+
+    Attributes:
+        first: The run that began first.
+        second: The other one.
+        duration_s: For how long both ran.
+    """
+
+    first: RunRecord
+    second: RunRecord
+    duration_s: float
+
+    @property
+    def both_done(self) -> bool:
+        """Whether both ended `done`, as those of an unnoticed resend do."""
+        return self.first.end is self.second.end is RunEnd.DONE
+
+
 @dataclass(slots=True)
 class History:
     """Records events at all fake upstreams for assertions.
@@ -60,6 +99,7 @@
         overlaps: Tasks that ran more than once at the same time.
         capacity_violations: Upstreams whose capacity was exceeded.
         starts: Time, task and upstream of each start.
+        runs: All runs in the order of their starts.
         crashing_jobs: Jobs whose first task crashes each upstream that starts
             it.
         crashes: Time, job and upstream of each such crash.
@@ -69,9 +109,26 @@
     overlaps: list[TaskRef] = field(default_factory=list)
     capacity_violations: list[str] = field(default_factory=list)
     starts: list[tuple[float, TaskRef, str]] = field(default_factory=list)
+    runs: list[RunRecord] = field(default_factory=list)
     crashing_jobs: set[str] = field(default_factory=set)
     crashes: list[tuple[float, str, str]] = field(default_factory=list)
 
+    def find_overlaps(self) -> list[Overlap]:
+        """Returns the pairs of runs of one task that overlapped."""
+        runs_by_task: dict[TaskRef, list[RunRecord]] = {}
+        overlaps = []
+        for run in self.runs:
+            earlier = runs_by_task.setdefault(run.task, [])
+            overlaps.extend(
+                Overlap(
+                    other, run, min(other.ended_s, run.ended_s) - run.began_s
+                )
+                for other in earlier
+                if other.ended_s > run.began_s
+            )
+            earlier.append(run)
+        return overlaps
+
 
 class FakeUpstream:
     """Executes start, stop and renewal calls as an upstream does.
@@ -116,6 +173,8 @@
         self.hanging = False
         self.lists_crashes = False
         self._restart_s = float('inf')
+        self._records: dict[TaskRef, RunRecord] = {}
+        self._now_s = 0.0
         self._ends: list[EndRow] = []
         self._last_end_number = 0
         self._highest_run: dict[TaskRef, int] = {}
@@ -160,7 +219,7 @@
     def crash(self) -> None:
         """Drops all runs without listing their ends, until `restart`."""
         for task in list(self.running):
-            self._drop(task)
+            self._drop(task, RunEnd.CRASHED)
         self.down = True
 
     def restart(self) -> None:
@@ -195,6 +254,7 @@
 
     def advance(self, now_s: float) -> None:
         """Ends runs that are complete or expired, crashes and restarts."""
+        self._now_s = now_s
         if now_s >= self._restart_s:
             self.restart()
         crashing = self._find_crashing(now_s)
@@ -336,6 +396,9 @@
             history.overlaps.append(call.task)
         upstreams.add(self.name)
         history.starts.append((now_s, call.task, self.name))
+        record = RunRecord(call.task, self.name, now_s)
+        history.runs.append(record)
+        self._records[call.task] = record
         used = Resources()
         for task in self.running:
             used += self.needs.get(task, Resources(cpu_m=1000))
@@ -350,9 +413,12 @@
         self._ends.append(
             EndRow(self._last_end_number, task, fake_run.run, end)
         )
-        self._drop(task)
+        self._drop(task, end)
 
-    def _drop(self, task: TaskRef) -> None:
+    def _drop(self, task: TaskRef, end: RunEnd) -> None:
+        record = self._records.pop(task)
+        record.ended_s = self._now_s
+        record.end = end
         self.running.pop(task)
         self.history.upstreams_by_task[task].discard(self.name)
 
