Notice a hang-up whatever was sent behind the request

Callers that left got their job run twice: they sent it again 1.3 s later to another entry, while the first one went on with it until the deadline. Hypercorn stops reading as soon as anything has arrived behind a request that isn't answered, even a line end, so it never saw the end of the connection.

The server now gives each connection an event of its own for that wait, which reads ahead meanwhile and ends the connection with its requests when the caller has closed it. A caller that sends over 512 KiB behind a request that isn't answered is cut off, since its hang-up could not be seen.

--- a/packages/node/cactushead_node/http/server.py
+++ b/packages/node/cactushead_node/http/server.py
@@ -5,6 +5,10 @@
     accept loop of hypercorn stops the server when the handler of a single
     connection raises an exception, and a request can cause that, such as an
     HTTP/2 request with a path that is not ASCII.
+
+    While an HTTP/1.1 request is not answered and bytes of another one have
+    arrived, hypercorn doesn't read. This module then watches for the end of the
+    connection, which would otherwise stay unnoticed.
 """
 
 import logging
@@ -15,7 +19,7 @@
 from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.config import Config
 from hypercorn.trio.tcp_server import TCPServer
-from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.trio.worker_context import EventWrapper, WorkerContext
 from hypercorn.typing import ConnectionState
 
 from .exchange import Receive, Scope, SendMessage
@@ -30,6 +34,7 @@
 MAX_BACKLOG_CONNECTIONS = 1024
 MAX_STREAMS_PER_CONNECTION = 1000
 
+AsyncFunction = Callable[[], Awaitable[None]]
 AsgiApp = Callable[[Scope, Receive, SendMessage], Awaitable[None]]
 
 
@@ -38,7 +43,7 @@
     host: str,
     port: int,
     *,
-    shutdown_trigger: Callable[[], Awaitable[None]],
+    shutdown_trigger: AsyncFunction,
     drain_s: float,
     task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -86,6 +91,44 @@
         connections.cancel_scope.deadline = trio.current_time() + drain_s
 
 
+class _ReadingResumed(EventWrapper):
+    """Event for which hypercorn waits before it reads again."""
+
+    def __init__(self, watch: AsyncFunction) -> None:
+        """Creates an event that isn't set.
+
+        Args:
+            watch: Runs while hypercorn waits.
+        """
+        super().__init__()
+        self._watch = watch
+
+    async def wait(self) -> None:
+        """Waits for the event."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch)
+            await super().wait()
+            nursery.cancel_scope.cancel()
+
+
+class _ConnectionContext(WorkerContext):
+    """Context of one connection, which watches it while nothing is read."""
+
+    def __init__(self, server: WorkerContext, watch: AsyncFunction) -> None:
+        """Shares the shutdown of the server.
+
+        Args:
+            server: Context of the server.
+            watch: Runs while hypercorn doesn't read.
+        """
+        super().__init__(None)
+        self.terminated = server.terminated
+        # Hypercorn creates its events by a call without arguments.
+        self.event_class = partial(  # type: ignore[assignment]
+            _ReadingResumed, watch
+        )
+
+
 async def _serve_connection(
     app: ASGIWrapper,
     config: Config,
@@ -93,15 +136,22 @@
     stream: trio.SocketStream,
 ) -> None:
     """Serves one connection; an exception ends only this connection."""
-    state = ConnectionState({})
+    bounded_stream = WriteTimeoutStream(stream)
+    scope = trio.CancelScope()
+
+    async def cancel_when_closed() -> None:
+        await bounded_stream.read_until_closed()
+        scope.cancel()
+
     try:
-        await TCPServer(
-            app,
-            config,
-            context,
-            state,
-            WriteTimeoutStream(stream),  # type: ignore[arg-type]
-        )
+        with scope:
+            await TCPServer(
+                app,
+                config,
+                _ConnectionContext(context, cancel_when_closed),
+                ConnectionState({}),
+                bounded_stream,  # type: ignore[arg-type]
+            )
     except Exception as error:
         LOGGER.warning('connection closed after an error: %r', error)
 
--- a/packages/node/cactushead_node/http/stream.py
+++ b/packages/node/cactushead_node/http/stream.py
@@ -1,9 +1,12 @@
-"""A TCP stream with a write time-out."""
+"""A TCP stream with a write time-out, which can be read ahead."""
 
 import trio
 
 CHUNK_BYTES = 65536
 SEND_TIMEOUT_S = 30.0
+# A caller that sends more than this behind a request that isn't answered yet is
+# cut off, since its hang-up could not be noticed any more.
+MAX_READ_AHEAD_BYTES = 8 * CHUNK_BYTES
 
 
 class WriteTimeoutStream:
@@ -29,6 +32,8 @@
         self.socket = stream.socket
         self._stream = stream
         self._timeout_s = timeout_s
+        self._read_ahead = bytearray()
+        self._receive_lock = trio.Lock()
 
     async def send_all(self, data: bytes) -> None:
         """Sends bytes in chunks, each with its own time-out.
@@ -49,7 +54,29 @@
         Args:
             max_bytes: Largest number of bytes to return.
         """
-        return await self._stream.receive_some(max_bytes)
+        async with self._receive_lock:
+            if self._read_ahead:
+                data = bytes(self._read_ahead[:max_bytes])
+                del self._read_ahead[:max_bytes]
+                return data
+            return await self._stream.receive_some(max_bytes)
+
+    async def read_until_closed(self) -> None:
+        """Returns when the peer has closed the stream, or sends too much.
+
+        Explanation:
+            What is read meanwhile is kept for `receive_some`, which may be
+            called at the same time.
+        """
+        while len(self._read_ahead) < MAX_READ_AHEAD_BYTES:
+            async with self._receive_lock:
+                try:
+                    data = await self._stream.receive_some(CHUNK_BYTES)
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    return
+            if not data:
+                return
+            self._read_ahead += data
 
     async def send_eof(self) -> None:
         """Closes the sending direction of the stream."""
--- a/packages/node/cactushead_node/http/tests/test_hang_ups.py
+++ b/packages/node/cactushead_node/http/tests/test_hang_ups.py
@@ -3,10 +3,11 @@
 import socket
 from contextlib import suppress
 from functools import partial
+from http import HTTPStatus
 
 import pytest
 import trio
-from cactushead_node.http import BodyBudget, Exchange, serve_http
+from cactushead_node.http import BodyBudget, Exchange, Reply, serve_http
 from cactushead_node.http.errors import CallerDisconnectedError
 
 HOST = '127.0.0.1'
@@ -42,9 +43,10 @@
             self.running -= 1
 
 
-def run(test):
+def run(test, app=None):
+    app = app or WaitingApp()
+
     async def main():
-        app = WaitingApp()
         with trio.fail_after(20):
             async with trio.open_nursery() as nursery:
                 port = await nursery.start(
@@ -106,3 +108,31 @@
         assert app.started == 0
 
     run(leave)
+
+
+class SlowEcho:
+    """Replies with the size of the body, some time after the request."""
+
+    async def __call__(self, scope, receive, send):
+        exchange = Exchange(scope, receive, send)
+        await exchange.read_body(BodyBudget())
+        size = len(exchange.take_body())
+        await exchange.run_until_disconnect(partial(trio.sleep, 0.05))
+        await exchange.send(Reply(HTTPStatus.OK, b'<%d>' % size))
+
+
+# Guards against bytes of the next request that are lost or reordered because
+# they were read while the server waited for the reply to the first one.
+def test_requests_that_came_early_are_answered_in_order():
+    async def send_early(_, port):
+        stream = await trio.open_tcp_stream(HOST, port)
+        async with trio.open_nursery() as nursery:
+            early = REQUEST + LARGE_REQUEST + REQUEST
+            nursery.start_soon(stream.send_all, early)
+            received = b''
+            while received.count(b'>') < 3:
+                received += await stream.receive_some(65536)
+        sizes = [part.partition(b'>')[0] for part in received.split(b'<')[1:]]
+        assert sizes == [b'2', b'300000', b'2']
+
+    run(send_early, SlowEcho())
