Admit no job whose caller has left before it was read

An entry that was paused, or waited for its configuration, read the request of a caller that had already sent it to another entry. It admitted the job, had its tasks started and stopped them only when it read the end of the connection, a pass of the event loop later. Their tasks ran at the same time as the others.

The end of the connection is now looked for first: the server hands it on in three passes of the event loop after the request, and the job waits for six.

--- a/packages/node/cactushead_node/http/exchange.py
+++ b/packages/node/cactushead_node/http/exchange.py
@@ -12,6 +12,9 @@
 
 BODY_TIMEOUT_S = 30.0
 DISCONNECT_GRACE_S = 1.0
+# Passes of the event loop in which the server hands on the end of a connection
+# that has arrived with the request; it takes three.
+READER_PASSES = 6
 
 # ASGI defines scopes and messages as mappings.
 Scope = MutableMapping[str, Any]
@@ -100,11 +103,13 @@
 
         Explanation:
             The body must have been read before, because further messages of
-            the request are discarded.
+            the request are discarded. After a pause of the process, a request
+            may be read although its caller has left; the server then reads
+            that first, so that nothing is computed.
 
         Args:
             compute: The function to await; it is cancelled when the caller
-                disconnects.
+                disconnects, and not called if the caller has left before.
 
         Raises:
             CallerDisconnectedError: The caller closed the connection.
@@ -112,6 +117,8 @@
         outcomes: list[_Outcome] = []
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._cancel_on_disconnect, nursery.cancel_scope)
+            for _ in range(READER_PASSES):
+                await trio.lowlevel.checkpoint()
             outcomes.append(await compute())
             nursery.cancel_scope.cancel()
         if not outcomes:
