End the leases of an upstream before a silent owner's tasks start again

Callers that send the job of a silent entry again had its tasks run twice if the agent couldn't stop the first runs: it was paused after the entry had fallen silent, or its stop calls were lost. The claim of an owner was checked at the agent alone, while the lease at the upstream was renewed for a second each time.

The upstream has one lease for all its runs. It now ends by `lease_grace_s` after the ownership of any run there, before a resend and before the owner gives up the agent, unless the run has ended; runs that were withdrawn are limited as well. The time of a message counts from the end of the turn before, when it can have arrived at the earliest. `owner_silence_s` leaves room for the renewal that follows a stop, 1.05 s at a resend of 1.3 s.

--- a/packages/core/cactushead_core/fleet/tests/test_silent_owners_leases.py
+++ b/packages/core/cactushead_core/fleet/tests/test_silent_owners_leases.py
@@ -61,3 +61,19 @@
     world.run(RESEND_S)
     world.call_delay = lambda _: None
     send_again(world)
+
+
+# Guards against leases that lapse for the runs of all entries when one of them
+# falls silent.
+@pytest.mark.parametrize('offset_s', [0.0, 0.07, 0.15, 0.22])
+@pytest.mark.parametrize('trouble', [pause, kill, lose_power])
+def test_runs_of_other_entries_go_on(trouble, offset_s):
+    world, _ = start_job(offset_s)
+    other = world.submit('e1', count=12)
+    world.run(0.2)
+    trouble(world)
+    world.run(RUN_S + 4)
+    assert job_ends(world, [other]) == [JobEnd.COMPLETED]
+    others = [task for _, task, _ in world.history.starts if task.job != JOB]
+    assert len(others) == 12
+    assert_invariants(world)
--- a/packages/core/cactushead_core/leasing/calls.py
+++ b/packages/core/cactushead_core/leasing/calls.py
@@ -1,6 +1,6 @@
 """Builds the calls of an agent to its upstream: lease ends and tokens."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from ..effects import Effect, Record
 from ..tasks import TaskRef
@@ -30,11 +30,16 @@
             has expired, by the agent's clock.
     """
 
-    def __init__(self, settings: LeasingSettings) -> None:
+    def __init__(
+        self,
+        settings: LeasingSettings,
+        find_lease_limit_s: Callable[[], float],
+    ) -> None:
         """Initializes the state before the first call.
 
         Args:
             settings: Settings of the agent.
+            find_lease_limit_s: Returns when leases have to end at the latest.
         """
         self.clock = UpstreamClock(settings.drift)
         self.acknowledged = 0
@@ -43,6 +48,7 @@
         self.next_renewal_s = 0.0
         self.latest_lease_end_s = 0.0
         self._settings = settings
+        self._find_lease_limit_s = find_lease_limit_s
         self._token = settings.token
         self._stop_requested_s: dict[TaskRef, float] = {}
         # That without the newest renewal.
@@ -53,6 +59,18 @@
         """Whether the newest list contained runs unknown to this agent."""
         return bool(self._stop_requested_s)
 
+    def can_start(self, now_s: float) -> bool:
+        """Whether a run that starts now gets a lease until the next renewal.
+
+        Args:
+            now_s: The agent's clock.
+        """
+        settings = self._settings
+        shortest_s = min(
+            settings.renew_wait_s + settings.retry_s, settings.lease_s
+        )
+        return self.clock.known and self._lease_s(now_s) >= shortest_s
+
     def reset(self) -> None:
         """Clears the state that belongs to the previous incarnation."""
         self.acknowledged = 0
@@ -130,7 +148,7 @@
         self.renewal_pending = True
         self._earlier_lease_end_s = self.latest_lease_end_s
         lease_end_ms = UNKNOWN_MS
-        if self.clock.known and not idle:
+        if self.clock.known and not idle and self._lease_s(now_s) > 0:
             lease_end_ms = self._lease_end_ms(now_s)
         acknowledged = self.listed
         self.listed = 0
@@ -179,8 +197,11 @@
                 )
             self._stop_requested_s[task] = requested_s
 
+    def _lease_s(self, now_s: float) -> float:
+        return min(self._settings.lease_s, self._find_lease_limit_s() - now_s)
+
     def _lease_end_ms(self, now_s: float) -> int:
-        lease_s = self._settings.lease_s
+        lease_s = self._lease_s(now_s)
         max_duration_s = self.clock.max_duration_s(lease_s)
         self.latest_lease_end_s = max(
             self.latest_lease_end_s, now_s + max_duration_s
--- a/packages/core/cactushead_core/leasing/lease_manager.py
+++ b/packages/core/cactushead_core/leasing/lease_manager.py
@@ -49,7 +49,9 @@
         """
         self.runs = RunTable()
         self._claims = settings.claims
-        self._calls = UpstreamCalls(settings)
+        self._calls = UpstreamCalls(
+            settings, lambda: self._owners.find_lease_limit_s()
+        )
         max_duration_s = self._calls.clock.max_duration_s(settings.lease_s)
         self._tracker = UpstreamTracker(max_duration_s)
         self._stop_calls = StopCalls(self._calls, settings.retry_s)
@@ -95,6 +97,7 @@
             self._stop_calls,
             self._sessions,
             OwnershipTimes(settings.owner_silence_s, settings.owner_grace_s),
+            settings,
         )
 
     @property
@@ -273,6 +276,7 @@
 
     def end_turn(self, now_s: float, effects: list[Effect]) -> None:
         """Starts queued runs that fit and sends results and reports."""
+        self._owners.turn_ended(now_s)
         if self._start_queued(now_s, effects):
             self._renewals.renew_now(now_s, effects)
         # Results are sent before reports: an entry expects no result of a task
@@ -340,9 +344,9 @@
     def _start_queued(self, now_s: float, effects: list[Effect]) -> bool:
         """Starts queued runs; returns whether the upstream was idle before."""
         upstream = self.upstream
-        if upstream is None or not self.ready or not self._calls.clock.known:
+        if upstream is None or not self.ready:
             return False
-        if not self.runs.queued_count:
+        if not self.runs.queued_count or not self._calls.can_start(now_s):
             return False
         was_idle = self.idle
         plan = plan_starts(
--- a/packages/core/cactushead_core/leasing/owners.py
+++ b/packages/core/cactushead_core/leasing/owners.py
@@ -7,6 +7,7 @@
 from .ownership import OwnershipTimes
 from .runs import LeasedRun, Phase, RunTable
 from .sessions import Sessions
+from .settings import LeasingSettings
 from .stop_calls import StopCalls
 from .upstream_tracker import UpstreamTracker
 
@@ -26,6 +27,7 @@
         stop_calls: StopCalls,
         sessions: Sessions,
         times: OwnershipTimes,
+        settings: LeasingSettings,
     ) -> None:
         """Shares the state of the agent.
 
@@ -35,12 +37,37 @@
             stop_calls: Its stop calls.
             sessions: Its sessions with entries.
             times: When the ownership of each owner expires.
+            settings: Settings of the agent.
         """
         self._runs = runs
         self._tracker = tracker
         self._stop_calls = stop_calls
         self._sessions = sessions
         self._times = times
+        self._settings = settings
+
+    def find_lease_limit_s(self) -> float:
+        """Returns when the leases at the upstream have to end, at the latest.
+
+        Explanation:
+            The upstream has one lease for all its runs. It must not go on with
+            a run that may be started elsewhere, even if the agent is paused or
+            its stop calls are lost. So a lease ends soon after the ownership
+            of any run there, unless the run has ended by then.
+        """
+        limits_s = (
+            min(
+                run.lease_limit_s,
+                self._times.find_expiry_s(run.owner)
+                + self._settings.lease_grace_s,
+            )
+            for run in self._runs.at_upstream()
+        )
+        return min(limits_s, default=float('inf'))
+
+    def turn_ended(self, now_s: float) -> None:
+        """Records that all messages that had arrived are handled."""
+        self._times.turn_ended(now_s)
 
     def connected(
         self,
@@ -54,7 +81,7 @@
             if owner.name == peer.name and owner != peer:
                 self._times.remove(owner)
                 cause = f'restarted as {peer.incarnation}'
-                self._drop(owner, cause, now_s, effects)
+                self._drop(owner, cause, now_s, now_s, effects)
 
     def disconnected(self, peer: Peer, now_s: float) -> None:
         """Starts the grace period of an entry's runs."""
@@ -86,7 +113,12 @@
         if runs:
             effects.append(withdrawn_record(owner, job, runs))
         for run in runs:
-            self._cancel(run, 'withdrawn', now_s, effects)
+            # The caller may have left before, and sends the job again.
+            expiry_s = min(
+                now_s + self._settings.owner_silence_s,
+                self._times.find_expiry_s(owner),
+            )
+            self._cancel(run, 'withdrawn', expiry_s, now_s, effects)
 
     def expire(self, now_s: float, effects: list[Effect]) -> None:
         """Drops the runs whose owners may have placed them elsewhere.
@@ -99,17 +131,18 @@
             now_s: The agent's clock.
             effects: List to which effects are appended.
         """
-        for owner in self._times.expire(now_s):
+        for owner, expiry_s in self._times.expire(now_s).items():
             if self._runs.of_owner(owner):
                 linked = self._sessions.is_connected(owner)
                 cause = 'silent' if linked else 'without a link'
-                self._drop(owner, cause, now_s, effects)
+                self._drop(owner, cause, expiry_s, now_s, effects)
                 self._sessions.renew(owner)
 
     def _drop(
         self,
         owner: Peer,
         cause: str,
+        expiry_s: float,
         now_s: float,
         effects: list[Effect],
     ) -> None:
@@ -123,18 +156,22 @@
             ),
         )
         for run in runs:
-            self._cancel(run, 'owner lost', now_s, effects)
+            self._cancel(run, 'owner lost', expiry_s, now_s, effects)
 
     def _cancel(
         self,
         run: LeasedRun,
         cause: str,
+        expiry_s: float,
         now_s: float,
         effects: list[Effect],
     ) -> None:
         if run.phase is Phase.QUEUED:
             self._runs.remove(run)
         else:
+            run.lease_limit_s = min(
+                run.lease_limit_s, expiry_s + self._settings.lease_grace_s
+            )
             self._stop_calls.mark_stopping(run, RunEnd.STOPPED, cause, now_s)
             self._stop_calls.call_if_due(
                 run, self._tracker.upstream, now_s, effects
--- a/packages/core/cactushead_core/leasing/ownership.py
+++ b/packages/core/cactushead_core/leasing/ownership.py
@@ -1,6 +1,6 @@
 """When the owners of an agent's runs lose them."""
 
-from collections.abc import Collection, Iterator
+from collections.abc import Iterator, Mapping
 
 from ..events import Peer
 
@@ -36,6 +36,7 @@
         self._earliest_s = _NEVER_S
         self._resumed_s = -_NEVER_S
         self._paused_s = -_NEVER_S
+        self._read_s = _NEVER_S
 
     def __iter__(self) -> Iterator[Peer]:
         """Iterates over the owners that are known now."""
@@ -56,14 +57,33 @@
             self._paused_s = paused_s
         self._resumed_s = now_s
 
+    def turn_ended(self, now_s: float) -> None:
+        """Records that all messages that had arrived are handled.
+
+        Args:
+            now_s: The agent's clock.
+        """
+        self._read_s = now_s
+
+    def find_expiry_s(self, owner: Peer) -> float:
+        """Returns when the ownership of an owner expires.
+
+        Args:
+            owner: The owner; one that is unknown owns nothing that expires.
+        """
+        return self._expiry_s.get(owner, _NEVER_S)
+
     def renew(self, owner: Peer, now_s: float) -> None:
         """Records a message of an owner.
 
+        Explanation:
+            The message may have arrived at any time after the turn before.
+
         Args:
             owner: The owner.
             now_s: The agent's clock.
         """
-        sent_s = now_s
+        sent_s = min(now_s, self._read_s)
         if now_s - self._resumed_s < UNREAD_S:
             sent_s = self._paused_s
         expiry_s = max(
@@ -98,19 +118,22 @@
         """Removes an owner."""
         self._expiry_s.pop(owner)
 
-    def expire(self, now_s: float) -> Collection[Peer]:
-        """Removes and returns the owners whose ownership has expired.
+    def expire(self, now_s: float) -> Mapping[Peer, float]:
+        """Removes the owners whose ownership has expired.
 
         Args:
             now_s: The agent's clock.
+
+        Returns:
+            The owners, with the time at which it expired.
         """
         if now_s < self._earliest_s:
-            return ()
-        expired = [
-            owner
+            return {}
+        expired = {
+            owner: expiry_s
             for owner, expiry_s in self._expiry_s.items()
             if now_s >= expiry_s
-        ]
+        }
         for owner in expired:
             self._expiry_s.pop(owner)
         self._earliest_s = min(self._expiry_s.values(), default=_NEVER_S)
--- a/packages/core/cactushead_core/leasing/runs.py
+++ b/packages/core/cactushead_core/leasing/runs.py
@@ -51,6 +51,8 @@
             report the end that the upstream lists.
         cause: Why it is being stopped.
         stop_asked_s: When it was marked for stopping.
+        lease_limit_s: Time by which its lease has to end, since its task may be
+            started elsewhere after that; set once its owner has given it up.
         session: Session of the offer.
         contested_by: Entry whose offer of the task was turned down last.
     """
@@ -75,6 +77,7 @@
     end: RunEnd | None = None
     cause: str = ''
     stop_asked_s: float = 0.0
+    lease_limit_s: float = float('inf')
     session: int = 0
     contested_by: Peer | None = None
 
--- a/packages/core/cactushead_core/leasing/settings.py
+++ b/packages/core/cactushead_core/leasing/settings.py
@@ -31,6 +31,8 @@
         stop_s: How long the upstream takes to stop a run.
         reaction_s: Time from the end of an ownership until the stop calls have
             arrived; an interval of ticks and the time-out of a call.
+        renewal_s: Time from the stop of a run until the leases of the others
+            are renewed; an interval of ticks.
         idle_list_interval_s: Interval at which the runs are listed while none
             is expected; the lease, since an unexpected run ends with it.
         load_interval_s: Minimum interval between two load messages to an
@@ -52,6 +54,7 @@
     resend_s: float = 1.3
     stop_s: float = 0.05
     reaction_s: float = 0.15
+    renewal_s: float = 0.05
     idle_list_interval_s: float = 1.0
     load_interval_s: float = 0.1
     claims: bool = False
@@ -65,14 +68,28 @@
             owner, after the time-out, the grace period and the longest lease
             (`DispatchSettings.agent_removal_s`), and by another entry, to which
             a caller resends the job that a silent owner doesn't answer. The
-            runs end before both.
+            runs end before both, and the leases of other runs are renewed
+            before `lease_grace_s` is over.
         """
-        before_resend_s = self.resend_s - self.stop_s - self.reaction_s
+        before_resend_s = (
+            self.resend_s - self.stop_s - self.reaction_s - self.renewal_s
+        )
         return max(
             min(self.link_timeout_s + self.owner_grace_s, before_resend_s),
             MIN_OWNER_SILENCE_S,
         )
 
+    @property
+    def lease_grace_s(self) -> float:
+        """Time after the end of an ownership when the leases end.
+
+        Explanation:
+            The runs end by then even if the agent can't stop them. The tasks
+            may be started elsewhere after that, as for `owner_silence_s`.
+        """
+        until_resend_s = self.resend_s * (1 - self.drift) - self.owner_silence_s
+        return max(min(until_resend_s, self.lease_s), self.reaction_s)
+
     @property
     def overlap_s(self) -> float:
         """Time for which runs of a silent owner may overlap those of a resend.
--- a/packages/core/cactushead_core/leasing/tests/test_settings.py
+++ b/packages/core/cactushead_core/leasing/tests/test_settings.py
@@ -37,3 +37,14 @@
     silence_s = make_settings(resend_s).owner_silence_s
     lease_s = 1.0 * 1.02 / 0.98
     assert silence_s + lease_s <= DispatchSettings().agent_removal_s + 1e-9
+
+
+# Guards against runs that outlast a resend, or that their owner places again,
+# because their agent can't stop them and the leases go on.
+@pytest.mark.parametrize('resend_s', [1.1, 1.2, 1.3, 2.0, 10.0])
+def test_leases_of_a_silent_owner_end_before_its_tasks_start_again(resend_s):
+    settings = make_settings(resend_s)
+    end_s = settings.owner_silence_s + settings.lease_grace_s
+    assert end_s <= resend_s * (1 - settings.drift)
+    assert end_s <= DispatchSettings().agent_removal_s
+    assert settings.lease_grace_s >= settings.reaction_s
