Watch a connection only while its reader waits

Large replies to several requests on one HTTP/2 connection hung. The watch for the end of a connection began with each event that hypercorn awaits, those of HTTP/2 streams too. Several watchers queued behind one lock, and what the caller sent wasn't handed to the reader.

Now only the task that reads the connection starts the watch, which is the wait of HTTP/1.1 for the next request.

--- a/packages/node/cactushead_node/http/server.py
+++ b/packages/node/cactushead_node/http/server.py
@@ -92,19 +92,32 @@
 
 
 class _ReadingResumed(EventWrapper):
-    """Event for which hypercorn waits before it reads again."""
+    """Event for which hypercorn may wait before it reads again.
 
-    def __init__(self, watch: AsyncFunction) -> None:
+    Explanation:
+        Only the task that reads the connection waits for that. The other tasks
+        of a connection, such as those of the streams of HTTP/2, wait for events
+        while it is read.
+    """
+
+    def __init__(
+        self, watch: AsyncFunction, reader: trio.lowlevel.Task
+    ) -> None:
         """Creates an event that isn't set.
 
         Args:
-            watch: Runs while hypercorn waits.
+            watch: Runs while the reader waits.
+            reader: Task that reads the connection.
         """
         super().__init__()
         self._watch = watch
+        self._reader = reader
 
     async def wait(self) -> None:
         """Waits for the event."""
+        if trio.lowlevel.current_task() is not self._reader:
+            await super().wait()
+            return
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch)
             await super().wait()
@@ -115,7 +128,7 @@
     """Context of one connection, which watches it while nothing is read."""
 
     def __init__(self, server: WorkerContext, watch: AsyncFunction) -> None:
-        """Shares the shutdown of the server.
+        """Shares the shutdown of the server; called by the reader's task.
 
         Args:
             server: Context of the server.
@@ -125,7 +138,7 @@
         self.terminated = server.terminated
         # Hypercorn creates its events by a call without arguments.
         self.event_class = partial(  # type: ignore[assignment]
-            _ReadingResumed, watch
+            _ReadingResumed, watch, trio.lowlevel.current_task()
         )
 
 
