Limit leases by the ownership of queued runs, too

A queued run of a silent entry could start under a lease that had just been granted for the runs of other entries, and outlast a resend. The limit counted the runs at the upstream only. The time of a message now also counts from when the turn before began, not from when it ended, since it may have arrived meanwhile.

--- a/packages/core/cactushead_core/leasing/lease_manager.py
+++ b/packages/core/cactushead_core/leasing/lease_manager.py
@@ -274,9 +274,20 @@
         self._stop_calls.stop_unconfirmed(self.runs, now_s)
         self._stop_calls.call_all_due(self.runs, self.upstream, now_s, effects)
 
-    def end_turn(self, now_s: float, effects: list[Effect]) -> None:
-        """Starts queued runs that fit and sends results and reports."""
-        self._owners.turn_ended(now_s)
+    def end_turn(
+        self,
+        now_s: float,
+        effects: list[Effect],
+        began_s: float | None = None,
+    ) -> None:
+        """Starts queued runs that fit and sends results and reports.
+
+        Args:
+            now_s: The agent's clock.
+            effects: List to which effects are appended.
+            began_s: Time of the first event of the turn; `now_s` by default.
+        """
+        self._owners.turn_ended(now_s if began_s is None else began_s)
         if self._start_queued(now_s, effects):
             self._renewals.renew_now(now_s, effects)
         # Results are sent before reports: an entry expects no result of a task
--- a/packages/core/cactushead_core/leasing/node.py
+++ b/packages/core/cactushead_core/leasing/node.py
@@ -54,6 +54,7 @@
         self._evacuations = EvacuationState()
         self._draining = False
         self._drained = False
+        self._turn_began_s: float | None = None
 
     @property
     def quiet(self) -> bool:
@@ -63,6 +64,8 @@
         )
 
     def _reduce(self, event: Event, effects: list[Effect]) -> None:
+        if self._turn_began_s is None:
+            self._turn_began_s = event.now_s
         # Before any event can start or renew a run whose owner has given it up.
         self.manager.expire_owners(event.now_s, effects)
         self._handle(event, effects)
@@ -99,7 +102,8 @@
             case DrainRequested():
                 self._on_drain_requested(event, effects)
             case TurnEnded():
-                manager.end_turn(event.now_s, effects)
+                manager.end_turn(event.now_s, effects, self._turn_began_s)
+                self._turn_began_s = None
 
     def _on_message(
         self,
--- a/packages/core/cactushead_core/leasing/owners.py
+++ b/packages/core/cactushead_core/leasing/owners.py
@@ -53,7 +53,8 @@
             The upstream has one lease for all its runs. It must not go on with
             a run that may be started elsewhere, even if the agent is paused or
             its stop calls are lost. So a lease ends soon after the ownership
-            of any run there, unless the run has ended by then.
+            of any run, unless the run has ended by then. Queued runs count,
+            since they would start under the lease that is granted now.
         """
         limits_s = (
             min(
@@ -61,13 +62,13 @@
                 self._times.find_expiry_s(run.owner)
                 + self._settings.lease_grace_s,
             )
-            for run in self._runs.at_upstream()
+            for run in self._runs.all()
         )
         return min(limits_s, default=float('inf'))
 
-    def turn_ended(self, now_s: float) -> None:
-        """Records that all messages that had arrived are handled."""
-        self._times.turn_ended(now_s)
+    def turn_ended(self, began_s: float) -> None:
+        """Records that messages that had arrived before a turn are handled."""
+        self._times.turn_ended(began_s)
 
     def connected(
         self,
--- a/packages/core/cactushead_core/leasing/ownership.py
+++ b/packages/core/cactushead_core/leasing/ownership.py
@@ -57,13 +57,13 @@
             self._paused_s = paused_s
         self._resumed_s = now_s
 
-    def turn_ended(self, now_s: float) -> None:
-        """Records that all messages that had arrived are handled.
+    def turn_ended(self, began_s: float) -> None:
+        """Records that messages that had arrived before a turn are handled.
 
         Args:
-            now_s: The agent's clock.
+            began_s: Time at which the turn began.
         """
-        self._read_s = now_s
+        self._read_s = began_s
 
     def find_expiry_s(self, owner: Peer) -> float:
         """Returns when the ownership of an owner expires.
@@ -77,7 +77,7 @@
         """Records a message of an owner.
 
         Explanation:
-            The message may have arrived at any time after the turn before.
+            The message may have arrived at any time since the last turn began.
 
         Args:
             owner: The owner.
