--- a/packages/core/cactushead_core/leasing/calls.py
+++ b/packages/core/cactushead_core/leasing/calls.py
@@ -51,7 +51,7 @@
         self._find_lease_limit_s = find_lease_limit_s
         self._token = settings.token
         self._stop_requested_s: dict[TaskRef, float] = {}
-        # That without the newest renewal.
+        # The value of `latest_lease_end_s` without the newest renewal.
         self._earlier_lease_end_s = 0.0
 
     @property
--- a/packages/node/cactushead_node/http/exchange.py
+++ b/packages/node/cactushead_node/http/exchange.py
@@ -12,8 +12,8 @@
 
 BODY_TIMEOUT_S = 30.0
 DISCONNECT_GRACE_S = 1.0
-# Passes of the event loop in which the server hands on the end of a connection
-# that has arrived with the request; it takes three.
+# Passes of the event loop after which the server has handed on the end of a
+# connection that arrived with the request; hypercorn 0.18 needs three.
 READER_PASSES = 6
 
 # ASGI defines scopes and messages as mappings.
