Split the placement of jobs from the dispatcher

What offers the tasks of a job, refuses it, and waits after a pause of the process moves to `JobPlacer`. No change of behaviour.

Measured: the tests of `dispatch` and those of waking entries and reopened jobs pass, and linter and formatter on `packages` and `platform`.

--- a/packages/core/cactushead_core/dispatch/dispatcher.py
+++ b/packages/core/cactushead_core/dispatch/dispatcher.py
@@ -14,7 +14,7 @@
     TaskRef,
     UpstreamReport,
 )
-from .admission import Admission, refusal_record
+from .admission import Admission
 from .agent_view import AgentView
 from .agent_views import AgentViews
 from .containment import CrashContainment
@@ -31,10 +31,10 @@
     unexpected_record,
 )
 from .job import OpenJob, OpenTask
-from .offers import offer_planned
+from .job_placer import JobPlacer
 from .open_jobs import OpenJobs
 from .placement import EarliestCompletion, Placement
-from .planner import PlannedTask, Planner
+from .planner import Planner
 from .responses import BestEffortEnded
 from .settings import DispatchSettings
 
@@ -42,11 +42,8 @@
 _UPSTREAM_FAULTS = frozenset((RunEnd.FAILED, RunEnd.STALLED))
 # Results of runs that never started.
 _NEVER_STARTED = frozenset((RunEnd.RETURNED, RunEnd.NO_CAPACITY))
-# Results of the runs of a job that was stopped, which nobody awaits.
+# Results of the runs of a job that was stopped; no task waits for them.
 _ENDS_OF_STOPPED_JOBS = _NEVER_STARTED | {RunEnd.STOPPED}
-# Number of ticks after a pause of the process by which all connections that
-# were closed meanwhile are read.
-UNREAD_TICKS = 3
 
 
 class Dispatcher:
@@ -78,19 +75,19 @@
             seed: Seed of the jitter in the default policy.
             find_entries: Returns the names of the connected entries.
         """
-        self._unread_ticks = 0
         self._times = RunTimes()
         self._admission = Admission(settings, self._times)
         self.agents = AgentViews(settings.agent_removal_s)
         views = self.agents.by_name
         self._containment = CrashContainment(settings.outcome_retention_s)
-        self._planner = Planner(
+        planner = Planner(
             placement or EarliestCompletion(settings.far_factor, seed),
             self._times,
             views,
             self._containment,
         )
         self._jobs = OpenJobs(views, settings.outcome_retention_s)
+        self._placer = JobPlacer(planner, self._admission, self._jobs)
         self.crashing_jobs = CrashingJobs(
             self._jobs, self._containment, find_entries
         )
@@ -131,14 +128,8 @@
         return self._jobs.pending(queue)
 
     def resumed(self) -> None:
-        """Defers all placement after a pause of this process.
-
-        Explanation:
-            A caller whose request or result is read now may have left during
-            the pause and sent its job to another entry. Its connection may be
-            read last.
-        """
-        self._unread_ticks = UNREAD_TICKS
+        """Defers all placement after a pause of this process."""
+        self._placer.resumed()
 
     # Requests of callers.
 
@@ -176,17 +167,9 @@
             self.crashing_jobs.give_up(open_job, now_s, effects)
             return
         open_job.open_steps()
-        if self._unread_ticks:
-            self._jobs.add(open_job)
-            return
-        plan = self._planner.plan(open_job, now_s)
-        refusal = self._find_refusal(open_job, plan, now_s)
+        refusal = self._placer.place_new(open_job, now_s, effects)
         if refusal is not None:
-            effects.append(refusal_record(job, refusal))
             effects.append(Respond(event.request_id, refusal))
-            return
-        self._jobs.add(open_job)
-        effects.extend(offer_planned(open_job, plan, now_s))
 
     def cancel(self, job: str, now_s: float, effects: list[Effect]) -> bool:
         """Cancels an open job on request of a caller.
@@ -279,15 +262,15 @@
     def tick(self, now_s: float, effects: list[Effect]) -> None:
         """Removes lost agents, ends expired jobs and retries placement."""
         self._admission.tick(now_s)
-        self._unread_ticks = max(self._unread_ticks - 1, 0)
+        self._placer.tick()
         for view in self.agents.expired(now_s):
             self._remove_agent(view, now_s, effects)
         for open_job in self._jobs:
             if now_s >= open_job.caller_deadline_s:
                 end = BestEffortEnded(JobEnd.ABANDONED, 'deadline passed')
                 self._jobs.end(open_job, end, now_s, effects)
-            elif not self._unread_ticks and any(open_job.unplaced()):
-                self._retry_placement(open_job, now_s, effects)
+            elif any(open_job.unplaced()):
+                self._placer.retry(open_job, now_s, effects)
         self._jobs.tick(now_s)
         self._containment.tick(now_s)
 
@@ -304,48 +287,6 @@
             self._end_task(view, ref, RunEnd.LOST, 'agent lost', now_s, effects)
         self.agents.by_name.pop(view.name)
 
-    def _retry_placement(
-        self,
-        open_job: OpenJob,
-        now_s: float,
-        effects: list[Effect],
-    ) -> None:
-        plan = self._planner.plan(open_job, now_s)
-        if open_job.withdrawn:
-            refusal = self._find_refusal(open_job, plan, now_s)
-            if refusal is not None:
-                effects.append(refusal_record(open_job.job, refusal))
-                self._jobs.end(open_job, refusal, now_s, effects)
-                return
-        effects.extend(offer_planned(open_job, plan, now_s))
-
-    def _find_refusal(
-        self,
-        open_job: OpenJob,
-        plan: list[PlannedTask],
-        now_s: float,
-    ) -> BestEffortEnded | None:
-        job = open_job.job
-        delay_s = max((planned.delay_s for planned in plan), default=0.0)
-        return self._admission.find_refusal(
-            job,
-            delay_s,
-            unplaceable=not self._planner.fits(job),
-            now_s=now_s,
-        )
-
-    def _place(
-        self,
-        open_job: OpenJob,
-        now_s: float,
-        effects: list[Effect],
-    ) -> None:
-        """Offers all tasks that are not offered to any agent."""
-        if self._unread_ticks:
-            return
-        plan = self._planner.plan(open_job, now_s)
-        effects.extend(offer_planned(open_job, plan, now_s))
-
     def _handle_result(
         self,
         view: AgentView,
@@ -369,7 +310,7 @@
             task.capacity_rejections += 1
             view.mark_full()
             effects.append(Count('tasks', 'crowded'))
-            self._place(open_job, now_s, effects)
+            self._placer.place(open_job, now_s, effects)
             return
         effects.append(
             Record(
@@ -389,7 +330,7 @@
             end = BestEffortEnded(JobEnd.FAILED, 'a task failed too often')
             self._jobs.end(open_job, end, now_s, effects)
         else:
-            self._place(open_job, now_s, effects)
+            self._placer.place(open_job, now_s, effects)
 
     def _ignore_result(
         self,
@@ -436,7 +377,7 @@
             end = BestEffortEnded(JobEnd.COMPLETED)
             self._jobs.end(open_job, end, now_s, effects)
         elif open_job.open_steps():
-            self._place(open_job, now_s, effects)
+            self._placer.place(open_job, now_s, effects)
 
     def _end_task(
         self,
--- a/packages/core/cactushead_core/dispatch/tests/test_pauses.py
+++ b/packages/core/cactushead_core/dispatch/tests/test_pauses.py
@@ -1,7 +1,8 @@
 """What a dispatcher places after a pause of its process."""
 
 from cactushead_core.dispatch import BestEffortSubmitted
-from cactushead_core.dispatch.dispatcher import UNREAD_TICKS, Dispatcher
+from cactushead_core.dispatch.dispatcher import Dispatcher
+from cactushead_core.dispatch.job_placer import UNREAD_TICKS
 from cactushead_core.dispatch.settings import DispatchSettings
 from cactushead_core.effects import Send
 from cactushead_core.events import Peer, PeerRole
