--- a/packages/node/cactushead_node/composition/local.py
+++ b/packages/node/cactushead_node/composition/local.py
@@ -129,6 +129,7 @@
         data_dir=settings.data_dir,
         timing=settings.timing,
         bounds=settings.bounds,
+        connections=settings.connections,
         log=settings.log,
     )
 
--- a/packages/node/cactushead_node/fleet/parse.py
+++ b/packages/node/cactushead_node/fleet/parse.py
@@ -11,6 +11,7 @@
     is_ip_address,
     make_settings_reader,
     raise_settings_findings,
+    read_connection_limits,
     read_port,
 )
 from .settings import FleetAgentSettings, FleetEntrySettings
@@ -46,6 +47,7 @@
         grace_s=_read_grace_s(reader),
         data_centres=_read_data_centres(reader),
         dispatch=_read_dispatch(reader),
+        connections=read_connection_limits(reader),
     )
     raise_settings_findings(reader)
     return settings
@@ -71,6 +73,7 @@
         claims=reader.flag('claims', default=False),
         resend_s=_read_duration_s(reader, 'resend_s', DEFAULT_RESEND_S),
         stop_s=_read_duration_s(reader, 'stop_s', DEFAULT_STOP_S),
+        connections=read_connection_limits(reader),
     )
     raise_settings_findings(reader)
     return settings
--- a/packages/node/cactushead_node/fleet/settings.py
+++ b/packages/node/cactushead_node/fleet/settings.py
@@ -5,7 +5,7 @@
 from cactushead_core.discovery import Endpoint, MemberAddress
 from cactushead_core.dispatch.settings import DispatchSettings
 
-from ..settings.model import Address
+from ..settings.model import Address, ConnectionLimits
 
 # The rest of the grace period is left for closing links and files.
 DRAIN_GRACE_RATIO = 0.9
@@ -28,6 +28,7 @@
         data_centres: Data centres that operators may evacuate; empty if any
             name is accepted.
         dispatch: Settings of the dispatcher.
+        connections: Limits of the connections to its servers.
     """
 
     own: MemberAddress
@@ -41,6 +42,7 @@
     grace_s: float = 6.0
     data_centres: tuple[str, ...] = ()
     dispatch: DispatchSettings = field(default_factory=DispatchSettings)
+    connections: ConnectionLimits = field(default_factory=ConnectionLimits)
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +59,7 @@
         resend_s: Shortest time after which a caller without a response sends
             its job again.
         stop_s: How long the upstream takes to stop a run.
+        connections: Limits of the connections to its servers.
     """
 
     own: MemberAddress
@@ -67,6 +70,7 @@
     claims: bool = False
     resend_s: float = 1.3
     stop_s: float = 0.05
+    connections: ConnectionLimits = field(default_factory=ConnectionLimits)
 
     @property
     def drain_s(self) -> float:
--- a/packages/node/cactushead_node/settings/__init__.py
+++ b/packages/node/cactushead_node/settings/__init__.py
@@ -3,6 +3,7 @@
 from .model import (
     Address,
     AgentSettings,
+    ConnectionLimits,
     EntrySettings,
     LocalSettings,
     LogForm,
@@ -16,6 +17,7 @@
 __all__ = [
     'Address',
     'AgentSettings',
+    'ConnectionLimits',
     'EntrySettings',
     'LocalSettings',
     'LogForm',
--- a/packages/node/cactushead_node/settings/model.py
+++ b/packages/node/cactushead_node/settings/model.py
@@ -7,6 +7,9 @@
 from cactushead_core.config import Bounds, Policy, Timing
 from cactushead_core.documents.model import Label
 
+BYTES_PER_KB = 1024
+BYTES_PER_MB = 1024 * BYTES_PER_KB
+
 
 class Role(StrEnum):
     """Role of a process, selected on its command line."""
@@ -64,6 +67,47 @@
     form: LogForm = LogForm.TEXT
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionLimits:
+    """Limits of one connection, and of all connections together.
+
+    Explanation:
+        The defaults are above what a caller inside the documented limits of
+        the platform holds, and their sum is below the memory of the smallest
+        instance.
+
+    Attributes:
+        max_connections: Open connections of one listen address.
+        reserved_descriptors: File descriptors of the process that connections
+            to its HTTP servers may not use. Links, files and calls to
+            upstreams need them.
+        max_handshakes: Accepted links whose peer is not identified yet.
+        max_read_ahead_bytes: Bytes of one connection that were received behind
+            the request that is being handled.
+        total_read_ahead_bytes: The same for all connections together.
+        max_body_bytes: Size of one request body.
+        total_body_bytes: Size of all request bodies whose requests are being
+            received or handled.
+        max_reply_bytes: Replies that one connection has not accepted yet; a
+            single reply may be larger.
+        total_reply_bytes: The same for all connections together.
+        max_streams: Requests in progress on one HTTP/2 connection.
+        total_streams: Requests in progress on all HTTP/2 connections.
+    """
+
+    max_connections: int = 2000
+    reserved_descriptors: int = 512
+    max_handshakes: int = 512
+    max_read_ahead_bytes: int = 512 * BYTES_PER_KB
+    total_read_ahead_bytes: int = 16 * BYTES_PER_MB
+    max_body_bytes: int = 4 * BYTES_PER_MB
+    total_body_bytes: int = 32 * BYTES_PER_MB
+    max_reply_bytes: int = 8 * BYTES_PER_MB
+    total_reply_bytes: int = 32 * BYTES_PER_MB
+    max_streams: int = 64
+    total_streams: int = 512
+
+
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
     """Settings of an entry.
@@ -82,6 +126,7 @@
         timing: Time-outs, intervals and the clock drift.
         bounds: Maximum sizes of tables.
         policy: Policies of the scheduler.
+        connections: Limits of the connections to its servers.
         log: Settings of the log.
     """
 
@@ -96,6 +141,7 @@
     timing: Timing = field(default_factory=Timing)
     bounds: Bounds = field(default_factory=Bounds)
     policy: Policy = field(default_factory=Policy)
+    connections: ConnectionLimits = field(default_factory=ConnectionLimits)
     log: LogSettings = field(default_factory=LogSettings)
 
     @property
@@ -183,6 +229,7 @@
             concurrently.
         timing: Time-outs, intervals and the clock drift.
         bounds: Maximum sizes of tables.
+        connections: Limits of the connections to its servers.
         log: Settings of the log.
     """
 
@@ -191,4 +238,5 @@
     slots: int = 8
     timing: Timing = field(default_factory=Timing)
     bounds: Bounds = field(default_factory=Bounds)
+    connections: ConnectionLimits = field(default_factory=ConnectionLimits)
     log: LogSettings = field(default_factory=LogSettings)
--- a/packages/node/cactushead_node/settings/parse.py
+++ b/packages/node/cactushead_node/settings/parse.py
@@ -34,6 +34,7 @@
     is_ip_address,
     make_settings_reader,
     raise_settings_findings,
+    read_connection_limits,
     read_port,
 )
 
@@ -95,6 +96,7 @@
         timing=_read_timing(reader),
         bounds=reader.positive_fields('bounds', Bounds, MAX_BOUND),
         policy=_read_policy(reader),
+        connections=read_connection_limits(reader),
         log=_read_log(reader),
     )
     _check_voter_role(reader, settings)
@@ -127,6 +129,7 @@
         slots=_read_slots(reader),
         timing=_read_timing(reader),
         bounds=reader.positive_fields('bounds', Bounds, MAX_BOUND),
+        connections=read_connection_limits(reader),
         log=_read_log(reader),
     )
 
--- a/packages/node/cactushead_node/settings/reading.py
+++ b/packages/node/cactushead_node/settings/reading.py
@@ -5,7 +5,10 @@
 from cactushead_core.errors import SettingsError
 from cactushead_core.validation import FieldReader, load_json
 
+from .model import ConnectionLimits
+
 MAX_PORT = 65535
+MAX_CONNECTION_LIMIT = 1e9
 
 
 def make_settings_reader(body: bytes) -> FieldReader:
@@ -52,6 +55,17 @@
     return reader.integer(name, lowest=1, highest=MAX_PORT)
 
 
+def read_connection_limits(reader: FieldReader) -> ConnectionLimits:
+    """Reads and returns the optional section `connections`.
+
+    Args:
+        reader: The reader.
+    """
+    return reader.positive_fields(
+        'connections', ConnectionLimits, MAX_CONNECTION_LIMIT
+    )
+
+
 def is_ip_address(host: str) -> bool:
     """Whether a text is an IPv4 or IPv6 address.
 
--- a/packages/node/cactushead_node/tests/test_pages.py
+++ b/packages/node/cactushead_node/tests/test_pages.py
@@ -16,6 +16,7 @@
 from cactushead_node.runtime import SYNC_METRIC
 from cactushead_node.settings import (
     AgentSettings,
+    ConnectionLimits,
     EntrySettings,
     LocalSettings,
     LogSettings,
@@ -36,6 +37,7 @@
     'timing': Timing,
     'bounds': Bounds,
     'policy': Policy,
+    'connections': ConnectionLimits,
     'log': LogSettings,
     'upstream': UpstreamSettings,
 }
