Bound what the connections of the HTTP servers hold

What callers saw: clients that send requests ahead of replies that they don't read, at any path of any listen address, that never complete their bodies, keep the windows of HTTP/2 streams closed, reset streams, or open idle connections, made an entry or agent grow until the machine's memory ended it, or ended an entry that found no descriptor for its files.

Cause: nothing limited a connection, and no sum did. The server library keeps what it parses, the watch for hang-ups kept half a megabyte more per connection, streams ended later than their reset, and the number of connections had no limit. Bodies were counted only while they were received.

Change: all connections pass one guard for each process. Its pools limit connections, bytes read ahead, bodies, replies not taken and HTTP/2 requests, each for one connection and for all, by the settings section `connections`. A pool that is full ends the holding that an ordinary caller does not have: the connection that waits longest for its client, the oldest incomplete body (503), the reply that stalls longest, the largest amount read ahead. A request that is handled is never broken off for room. HTTP/1.1 is served on h11, HTTP/2 on h2, both on trio: between the two and the library before, only these let a limit be kept where bytes are read. Bodies in tiny chunks are parsed in turns, so that the event loop goes on.

Why it works: what the connections hold is counted where it is read or queued, so no path can pass it by; the choice of what ends is pure code. Hang-ups are noticed as before (`test_hang_ups`, `test_late_requests`).

Besides: requests that had arrived before a shutdown are answered; they were dropped before (`test_requests_that_have_arrived...` failed before).

--- a/packages/node/cactushead_node/callers/app.py
+++ b/packages/node/cactushead_node/callers/app.py
@@ -52,17 +52,23 @@
 class CallerApp(HttpApp):
     """Routes HTTP requests to handlers that pass them to the reducer."""
 
-    def __init__(self, requests: RequestPort, status: StatusPort) -> None:
+    def __init__(
+        self,
+        requests: RequestPort,
+        status: StatusPort,
+        budget: BodyBudget,
+    ) -> None:
         """Initializes the handlers of all resources.
 
         Args:
             requests: Passes requests to the reducer.
             status: Provides the process's state, time line and metrics.
+            budget: Memory of all request bodies.
         """
         super().__init__(logging.getLogger('cactushead.callers'))
         self._requests = requests
         self._status = status
-        self._budget = BodyBudget()
+        self._budget = budget
         self._handlers: dict[Resource, dict[str, _Handler]] = {
             Resource.JOBS: {'POST': self._submit_job},
             Resource.JOB: {'GET': self._query_job, 'DELETE': self._cancel_job},
@@ -206,14 +212,19 @@
         )
 
 
-def make_app(requests: RequestPort, status: StatusPort) -> CallerApp:
+def make_app(
+    requests: RequestPort,
+    status: StatusPort,
+    budget: BodyBudget | None = None,
+) -> CallerApp:
     """Returns the application for an ASGI server.
 
     Args:
         requests: Passes requests to the reducer.
         status: Provides the process's state, time line and metrics.
+        budget: Memory of all request bodies; by default that of the settings.
     """
-    return CallerApp(requests, status)
+    return CallerApp(requests, status, budget or BodyBudget())
 
 
 def _refuse(reason: RefusalReason, *findings: Finding) -> Reply:
--- a/packages/node/cactushead_node/composition/entry.py
+++ b/packages/node/cactushead_node/composition/entry.py
@@ -15,7 +15,7 @@
 
 from ..callers import RequestPort, make_app
 from ..event_queue import EventQueue
-from ..http import serve_http
+from ..http import ConnectionGuard, serve_http
 from ..observability import Timeline
 from ..observability.metrics import Metrics
 from ..observability.reports import Reports
@@ -95,7 +95,9 @@
             observer=wiring.observer,
             now=now,
         )
+        self._guard = ConnectionGuard(settings.connections)
         metrics.add_source('links', lambda: self._links.counters)
+        metrics.add_source('connections', lambda: self._guard.counters)
         metrics.add_source('state', lambda: read_state(node), gauges=True)
         reports = Reports(
             wiring.timeline,
@@ -181,11 +183,12 @@
         task_status: trio.TaskStatus[int],
     ) -> None:
         await serve_http(
-            make_app(self._runtime, self._status),
+            make_app(self._runtime, self._status, self._guard.bodies),
             self._settings.callers.host,
             self._settings.callers.port,
             shutdown_trigger=partial(self._start_drain, stop),
             drain_s=CALLERS_DRAIN_TIMEOUT_S,
+            guard=self._guard,
             task_status=task_status,
         )
 
--- a/packages/node/cactushead_node/fleet/parse.py
+++ b/packages/node/cactushead_node/fleet/parse.py
@@ -5,7 +5,7 @@
 from cactushead_core.events import PeerRole
 from cactushead_core.validation import FieldReader
 
-from ..settings import Address
+from ..settings import Address, AgentConnectionLimits
 from ..settings.reading import (
     MAX_PORT,
     is_ip_address,
@@ -73,7 +73,7 @@
         claims=reader.flag('claims', default=False),
         resend_s=_read_duration_s(reader, 'resend_s', DEFAULT_RESEND_S),
         stop_s=_read_duration_s(reader, 'stop_s', DEFAULT_STOP_S),
-        connections=read_connection_limits(reader),
+        connections=read_connection_limits(reader, AgentConnectionLimits),
     )
     raise_settings_findings(reader)
     return settings
--- a/packages/node/cactushead_node/fleet/settings.py
+++ b/packages/node/cactushead_node/fleet/settings.py
@@ -5,7 +5,11 @@
 from cactushead_core.discovery import Endpoint, MemberAddress
 from cactushead_core.dispatch.settings import DispatchSettings
 
-from ..settings.model import Address, ConnectionLimits
+from ..settings.model import (
+    Address,
+    AgentConnectionLimits,
+    ConnectionLimits,
+)
 
 # The rest of the grace period is left for closing links and files.
 DRAIN_GRACE_RATIO = 0.9
@@ -70,7 +74,7 @@
     claims: bool = False
     resend_s: float = 1.3
     stop_s: float = 0.05
-    connections: ConnectionLimits = field(default_factory=ConnectionLimits)
+    connections: ConnectionLimits = field(default_factory=AgentConnectionLimits)
 
     @property
     def drain_s(self) -> float:
--- a/packages/node/cactushead_node/http/__init__.py
+++ b/packages/node/cactushead_node/http/__init__.py
@@ -1,6 +1,7 @@
 """HTTP server: ASGI applications, exchanges and request body limits."""
 
 from .app import HttpApp
+from .asgi import Receive, Scope, SendMessage
 from .budget import MAX_BODY_BYTES, BodyBudget, Reservation
 from .errors import (
     BodyBudgetError,
@@ -9,7 +10,8 @@
     BodyTooLargeError,
     CallerDisconnectedError,
 )
-from .exchange import Exchange, Receive, Scope, SendMessage
+from .exchange import Exchange
+from .guard import ConnectionCounters, ConnectionGuard
 from .reply import JSON_TYPE, Header, Reply
 from .server import serve_http
 
@@ -21,6 +23,8 @@
     'BodyError',
     'BodyTooLargeError',
     'CallerDisconnectedError',
+    'ConnectionCounters',
+    'ConnectionGuard',
     'Exchange',
     'Header',
     'HttpApp',
--- a/packages/node/cactushead_node/http/app.py
+++ b/packages/node/cactushead_node/http/app.py
@@ -3,8 +3,9 @@
 import logging
 from abc import ABC, abstractmethod
 
+from .asgi import Receive, Scope, SendMessage
 from .errors import CallerDisconnectedError
-from .exchange import Exchange, Receive, Scope, SendMessage
+from .exchange import Exchange
 from .reply import Reply
 
 
@@ -54,6 +55,8 @@
                 '%s: caller disconnected before the reply',
                 exchange.raw_path,
             )
+        finally:
+            exchange.close()
 
     async def _reply_or_error(self, exchange: Exchange) -> Reply:
         """Returns the handler's reply, or the internal error reply."""
--- a/packages/node/cactushead_node/http/exchange.py
+++ b/packages/node/cactushead_node/http/exchange.py
@@ -1,27 +1,29 @@
 """One HTTP request and its reply over the ASGI interface."""
 
-from collections.abc import Awaitable, Callable, MutableMapping
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
-from typing import Any, TypeVar
+from typing import TypeVar
 
 import trio
 
-from .budget import MAX_BODY_BYTES, BodyBudget, Reservation
-from .errors import BodyTimeoutError, BodyTooLargeError, CallerDisconnectedError
+from .asgi import Receive, Scope, SendMessage
+from .budget import BodyBudget, Reservation
+from .errors import (
+    BodyBudgetError,
+    BodyTimeoutError,
+    BodyTooLargeError,
+    CallerDisconnectedError,
+)
 from .reply import Reply
 
 BODY_TIMEOUT_S = 30.0
 DISCONNECT_GRACE_S = 1.0
+# Size up to which chunks of a body are kept together.
+PIECE_BYTES = 16_384
 # Passes of the event loop after which the server has handed on the end of a
-# connection that arrived with the request; hypercorn 0.18 needs three.
+# connection that arrived with the request.
 READER_PASSES = 6
 
-# ASGI defines scopes and messages as mappings.
-Scope = MutableMapping[str, Any]
-AsgiMessage = MutableMapping[str, Any]
-Receive = Callable[[], Awaitable[AsgiMessage]]
-SendMessage = Callable[[AsgiMessage], Awaitable[None]]
-
 _Outcome = TypeVar('_Outcome')
 
 
@@ -55,6 +57,7 @@
         self._receive = receive
         self._send = send
         self._body_read = False
+        self._reservation: Reservation | None = None
         self._http2 = scope.get('http_version') == '2'
 
     def header_values(self, name: str) -> list[str]:
@@ -73,21 +76,37 @@
     async def read_body(self, budget: BodyBudget) -> None:
         """Reads the complete body.
 
+        Explanation:
+            The body stays within the budget until the exchange is closed.
+
         Args:
-            budget: Memory limit for the bodies that are being received.
+            budget: Memory limit for all bodies.
 
         Raises:
-            BodyBudgetError: The budget is exhausted by other bodies.
+            BodyBudgetError: The budget is exhausted by other bodies, or this
+                one was incomplete for longer than all others.
             BodyTooLargeError: The body is larger than the limit; the rest of
                 it is not read.
             CallerDisconnectedError: The caller closed the connection.
             BodyTimeoutError: The body was not received before the time-out.
         """
-        self._check_content_length()
-        with trio.move_on_after(BODY_TIMEOUT_S), budget.reserve() as memory:
-            await self._read_chunks(memory)
-        if not self._body_read:
-            raise BodyTimeoutError(f'no whole body in {BODY_TIMEOUT_S} s')
+        self._check_content_length(budget.max_body_bytes)
+        given_up = trio.CancelScope()
+        self._reservation = budget.open_reservation(given_up.cancel)
+        with given_up, trio.move_on_after(BODY_TIMEOUT_S):
+            await self._read_chunks(self._reservation, budget.max_body_bytes)
+        if self._body_read:
+            self._reservation.keep()
+            return
+        self.close()
+        if given_up.cancel_called:
+            raise BodyBudgetError('the body took longer than all others')
+        raise BodyTimeoutError(f'no whole body in {BODY_TIMEOUT_S} s')
+
+    def close(self) -> None:
+        """Returns the memory of the body to the budget."""
+        if self._reservation is not None:
+            self._reservation.release()
 
     def take_body(self) -> bytes:
         """Returns the body and drops the reference, to free its memory."""
@@ -170,28 +189,33 @@
         )
         await self._send({'type': 'http.response.body', 'body': reply.body})
 
-    async def _read_chunks(self, reservation: Reservation) -> None:
+    async def _read_chunks(
+        self, reservation: Reservation, max_bytes: int
+    ) -> None:
         """Reads the body and reserves memory chunk by chunk."""
-        chunks: list[bytes] = []
+        pieces = [bytearray()]
         size_bytes = 0
         while not self._body_read:
-            message = await self._receive()
-            if message['type'] == 'http.disconnect':
-                raise CallerDisconnectedError('disconnect within the body')
-            chunk = message.get('body', b'')
-            size_bytes += len(chunk)
-            if size_bytes > MAX_BODY_BYTES:
-                raise BodyTooLargeError(_size_finding(size_bytes))
+            chunk = await self._receive_chunk()
             reservation.grow(len(chunk))
-            chunks.append(chunk)
-            self._body_read = not message.get('more_body', False)
-        self._body = b''.join(chunks)
-
-    def _check_content_length(self) -> None:
+            size_bytes += len(chunk)
+            if size_bytes > max_bytes:
+                raise BodyTooLargeError(_size_finding(size_bytes, max_bytes))
+            _append(pieces, chunk)
+        self._body = b''.join(pieces)
+
+    async def _receive_chunk(self) -> bytes:
+        message = await self._receive()
+        if message['type'] == 'http.disconnect':
+            raise CallerDisconnectedError('disconnect within the body')
+        self._body_read = not message.get('more_body', False)
+        return message.get('body', b'')
+
+    def _check_content_length(self, max_bytes: int) -> None:
         """Rejects a body by its declared length, before any of it is read."""
         for text in self.header_values('content-length'):
-            if text.isdecimal() and int(text) > MAX_BODY_BYTES:
-                raise BodyTooLargeError(_size_finding(int(text)))
+            if text.isdecimal() and int(text) > max_bytes:
+                raise BodyTooLargeError(_size_finding(int(text), max_bytes))
 
     async def _cancel_on_disconnect(self, scope: trio.CancelScope) -> None:
         await self._wait_for_disconnect()
@@ -222,9 +246,21 @@
             message_type = message['type']
 
 
-def _size_finding(size_bytes: int) -> str:
+def _append(pieces: list[bytearray], chunk: bytes) -> None:
+    """Appends a chunk of a body to its pieces.
+
+    Explanation:
+        Pieces of about the same size leave no gaps in the memory, as bodies
+        that grow side by side would.
+    """
+    if len(pieces[-1]) + len(chunk) > PIECE_BYTES:
+        pieces.append(bytearray())
+    pieces[-1] += chunk
+
+
+def _size_finding(size_bytes: int, max_bytes: int) -> str:
     """Returns the finding about a body that is too large."""
-    return f'must be up to {MAX_BODY_BYTES} bytes, got {size_bytes}'
+    return f'must be up to {max_bytes} bytes, got {size_bytes}'
 
 
 def _raw_path(scope: Scope) -> str:
--- a/packages/node/cactushead_node/http/server.py
+++ b/packages/node/cactushead_node/http/server.py
@@ -1,41 +1,31 @@
 """The HTTP server.
 
 Explanation:
-    Hypercorn serves the connections, but this module accepts them. The
-    accept loop of hypercorn stops the server when the handler of a single
-    connection raises an exception, and a request can cause that, such as an
-    HTTP/2 request with a path that is not ASCII.
-
-    While an HTTP/1.1 request is not answered and bytes of another one have
-    arrived, hypercorn doesn't read. This module then watches for the end of the
-    connection, which would otherwise stay unnoticed.
+    It serves HTTP/1.1 and, to clients that send its connection preface,
+    HTTP/2 without TLS. What its connections may hold is limited by the guard,
+    which all servers of a process share.
 """
 
 import logging
 from collections.abc import Awaitable, Callable
-from functools import partial
+from importlib import import_module
+from typing import Protocol
 
 import trio
-from hypercorn.app_wrappers import ASGIWrapper
-from hypercorn.config import Config
-from hypercorn.trio.tcp_server import TCPServer
-from hypercorn.trio.worker_context import EventWrapper, WorkerContext
-from hypercorn.typing import ConnectionState
 
-from .exchange import Receive, Scope, SendMessage
+from ..accepting import PatientListener
+from ..holdings import PoolExhaustedError
+from .asgi import AsgiApp
+from .guard import ConnectionGuard, ConnectionSlot
+from .http1 import KEEP_ALIVE_S, READ_BYTES, Http1Connection
 from .stream import WriteTimeoutStream
 
 LOGGER = logging.getLogger('cactushead.callers')
 
-# Load balancers reuse idle connections. The time-out is long, so that the
-# server does not close a connection while a request is on its way to it.
-KEEP_ALIVE_S = 75.0
-MAX_REQUESTS_PER_CONNECTION = 1_000_000
 MAX_BACKLOG_CONNECTIONS = 1024
-MAX_STREAMS_PER_CONNECTION = 1000
+HTTP2_PREFACE = b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n'
 
 AsyncFunction = Callable[[], Awaitable[None]]
-AsgiApp = Callable[[Scope, Receive, SendMessage], Awaitable[None]]
 
 
 async def serve_http(
@@ -45,14 +35,15 @@
     *,
     shutdown_trigger: AsyncFunction,
     drain_s: float,
+    guard: ConnectionGuard | None = None,
+    http2: bool = True,
     task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serves HTTP/1.1 and HTTP/2 until the shutdown.
+    """Serves HTTP until the shutdown.
 
     Explanation:
         When the trigger returns, the server stops accepting connections,
-        closes the idle ones and completes the requests in flight. HTTP/2 is
-        served without TLS to clients that send its connection preface.
+        closes the idle ones and completes the requests in flight.
 
     Args:
         app: The ASGI application.
@@ -60,6 +51,9 @@
         port: TCP port to listen on, 0 for any free port.
         shutdown_trigger: Returns when the server is to shut down.
         drain_s: Time limit for the requests in flight after that.
+        guard: Limits of all connections of the process; by default those of
+            the settings, for this server alone.
+        http2: Whether HTTP/2 is served.
         task_status: Receives the port when the server is listening.
     """
     listeners = await trio.open_tcp_listeners(
@@ -67,113 +61,152 @@
         host=host,
         backlog=MAX_BACKLOG_CONNECTIONS,
     )
-    context = WorkerContext(None)
-    handle = partial(
-        _serve_connection,
-        ASGIWrapper(app),  # type: ignore[arg-type]
-        _server_config(),
-        context,
-    )
+    server = _Server(app, guard or ConnectionGuard(), http2=http2)
     async with trio.open_nursery() as connections:
-        async with trio.open_nursery() as accept_loop:
-            accept_loop.start_soon(
-                partial(
-                    trio.serve_listeners,
-                    handle,
-                    listeners,
-                    handler_nursery=connections,
-                ),
-            )
+        async with trio.open_nursery() as accept_loops:
+            for listener in listeners:
+                accept_loops.start_soon(server.accept, listener, connections)
             task_status.started(listeners[0].socket.getsockname()[1])
             await shutdown_trigger()
-            accept_loop.cancel_scope.cancel()
-        await context.terminated.set()
+            accept_loops.cancel_scope.cancel()
+        for listener in listeners:
+            await listener.aclose()
+        server.close_idle()
         connections.cancel_scope.deadline = trio.current_time() + drain_s
+    server.close()
 
 
-class _ReadingResumed(EventWrapper):
-    """Event for which hypercorn may wait before it reads again.
+class _HttpConnection(Protocol):
+    """A connection of either version of HTTP."""
 
-    Explanation:
-        Only the task that reads the connection waits for that. The other tasks
-        of a connection, such as those of the streams of HTTP/2, wait for events
-        while it is read.
+    async def run(self, received: bytes) -> None:
+        """Serves until the connection ends."""
+
+    def close_when_idle(self) -> None:
+        """Closes the connection once no request is in progress."""
+
+
+class _Connection:
+    """An accepted connection.
+
+    Attributes:
+        scope: Ends the connection when it is cancelled.
+        slot: Its place among all connections.
+        http: Serves it; None until its first bytes have arrived.
     """
 
+    def __init__(self) -> None:
+        """Creates a connection that has no slot yet."""
+        self.scope = trio.CancelScope()
+        self.slot: ConnectionSlot | None = None
+        self.http: _HttpConnection | None = None
+
+    def close_when_idle(self) -> None:
+        """Closes the connection once no request is in progress."""
+        if self.http is None:
+            self.scope.cancel()
+        else:
+            self.http.close_when_idle()
+
+
+class _Server:
+    """Accepts connections and serves each in a task of its own."""
+
     def __init__(
-        self, watch: AsyncFunction, reader: trio.lowlevel.Task
+        self, app: AsgiApp, guard: ConnectionGuard, *, http2: bool
     ) -> None:
-        """Creates an event that isn't set.
-
-        Args:
-            watch: Runs while the reader waits.
-            reader: Task that reads the connection.
-        """
-        super().__init__()
-        self._watch = watch
-        self._reader = reader
-
-    async def wait(self) -> None:
-        """Waits for the event."""
-        if trio.lowlevel.current_task() is not self._reader:
-            await super().wait()
+        """Creates a server without connections."""
+        self._app = app
+        self._guard = guard
+        self._http2 = http2
+        self._pool = guard.add_listener()
+        self._connections: set[_Connection] = set()
+
+    async def accept(
+        self, listener: trio.SocketListener, nursery: trio.Nursery
+    ) -> None:
+        """Accepts connections until it is cancelled."""
+        patient = PatientListener(listener, self._guard.close_oldest)
+        while True:
+            await self._admit(await patient.accept(), nursery)
+
+    def close_idle(self) -> None:
+        """Closes the connections without a request in progress."""
+        for connection in tuple(self._connections):
+            connection.close_when_idle()
+
+    def close(self) -> None:
+        """Forgets the listen address."""
+        self._guard.remove_listener(self._pool)
+
+    async def _admit(
+        self, stream: trio.SocketStream, nursery: trio.Nursery
+    ) -> None:
+        """Serves a connection if there is a slot for it, else closes it."""
+        connection = _Connection()
+        try:
+            connection.slot = self._guard.admit(
+                self._pool, connection.scope.cancel
+            )
+        except PoolExhaustedError:
+            self._guard.log_limits()
+            await trio.aclose_forcefully(stream)
+            return
+        self._connections.add(connection)
+        nursery.start_soon(self._serve, connection, connection.slot, stream)
+
+    async def _serve(
+        self,
+        connection: _Connection,
+        slot: ConnectionSlot,
+        stream: trio.SocketStream,
+    ) -> None:
+        """Serves one connection; an exception ends only this connection."""
+        try:
+            with connection.scope:
+                await self._run(connection, slot, WriteTimeoutStream(stream))
+        except Exception as error:
+            LOGGER.warning('connection closed after an error: %r', error)
+        finally:
+            self._remove(connection, slot)
+            await trio.aclose_forcefully(stream)
+
+    def _remove(self, connection: _Connection, slot: ConnectionSlot) -> None:
+        self._connections.discard(connection)
+        slot.release()
+        self._guard.log_limits()
+
+    async def _run(
+        self,
+        connection: _Connection,
+        slot: ConnectionSlot,
+        stream: WriteTimeoutStream,
+    ) -> None:
+        received = await _receive_start(stream)
+        if not received:
             return
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch)
-            await super().wait()
-            nursery.cancel_scope.cancel()
-
-
-class _ConnectionContext(WorkerContext):
-    """Context of one connection, which watches it while nothing is read."""
-
-    def __init__(self, server: WorkerContext, watch: AsyncFunction) -> None:
-        """Shares the shutdown of the server; called by the reader's task.
-
-        Args:
-            server: Context of the server.
-            watch: Runs while hypercorn doesn't read.
-        """
-        super().__init__(None)
-        self.terminated = server.terminated
-        # Hypercorn creates its events by a call without arguments.
-        self.event_class = partial(  # type: ignore[assignment]
-            _ReadingResumed, watch, trio.lowlevel.current_task()
+        make_http: Callable[..., _HttpConnection] = Http1Connection
+        if received.startswith(HTTP2_PREFACE):
+            if not self._http2:
+                return
+            # Most processes never need the module and its library.
+            make_http = import_module('.http2', __package__).Http2Connection
+        connection.http = make_http(
+            self._app, stream, self._guard, slot, connection.scope
         )
-
-
-async def _serve_connection(
-    app: ASGIWrapper,
-    config: Config,
-    context: WorkerContext,
-    stream: trio.SocketStream,
-) -> None:
-    """Serves one connection; an exception ends only this connection."""
-    bounded_stream = WriteTimeoutStream(stream)
-    scope = trio.CancelScope()
-
-    async def cancel_when_closed() -> None:
-        await bounded_stream.read_until_closed()
-        scope.cancel()
-
-    try:
-        with scope:
-            await TCPServer(
-                app,
-                config,
-                _ConnectionContext(context, cancel_when_closed),
-                ConnectionState({}),
-                bounded_stream,  # type: ignore[arg-type]
-            )
-    except Exception as error:
-        LOGGER.warning('connection closed after an error: %r', error)
-
-
-def _server_config() -> Config:
-    config = Config()
-    config.errorlog = LOGGER
-    config.h2_max_concurrent_streams = MAX_STREAMS_PER_CONNECTION
-    config.include_server_header = False
-    config.keep_alive_max_requests = MAX_REQUESTS_PER_CONNECTION
-    config.keep_alive_timeout = KEEP_ALIVE_S
-    return config
+        await connection.http.run(received)
+
+
+async def _receive_start(stream: WriteTimeoutStream) -> bytes:
+    """Returns the first bytes, enough to tell the version of HTTP."""
+    start = b''
+    with trio.move_on_after(KEEP_ALIVE_S):
+        while HTTP2_PREFACE.startswith(start):
+            received = await stream.receive_some(READ_BYTES)
+            if not received:
+                return b''
+            start += received
+            if start.startswith(HTTP2_PREFACE):
+                return start
+        return start
+    return b''
--- a/packages/node/cactushead_node/settings/__init__.py
+++ b/packages/node/cactushead_node/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from .model import (
     Address,
+    AgentConnectionLimits,
     AgentSettings,
     ConnectionLimits,
     EntrySettings,
@@ -16,6 +17,7 @@
 
 __all__ = [
     'Address',
+    'AgentConnectionLimits',
     'AgentSettings',
     'ConnectionLimits',
     'EntrySettings',
--- a/packages/node/cactushead_node/settings/model.py
+++ b/packages/node/cactushead_node/settings/model.py
@@ -95,7 +95,7 @@
         total_streams: Requests in progress on all HTTP/2 connections.
     """
 
-    max_connections: int = 2000
+    max_connections: int = 1000
     reserved_descriptors: int = 512
     max_handshakes: int = 512
     max_read_ahead_bytes: int = 512 * BYTES_PER_KB
@@ -108,6 +108,20 @@
     total_streams: int = 512
 
 
+@dataclass(frozen=True, slots=True)
+class AgentConnectionLimits(ConnectionLimits):
+    """Limits of an agent, which only its upstream calls.
+
+    Explanation:
+        An agent has about half of the memory of an entry.
+    """
+
+    max_connections: int = 256
+    total_read_ahead_bytes: int = 4 * BYTES_PER_MB
+    total_body_bytes: int = 16 * BYTES_PER_MB
+    total_reply_bytes: int = 8 * BYTES_PER_MB
+
+
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
     """Settings of an entry.
--- a/packages/node/cactushead_node/settings/reading.py
+++ b/packages/node/cactushead_node/settings/reading.py
@@ -55,15 +55,25 @@
     return reader.integer(name, lowest=1, highest=MAX_PORT)
 
 
-def read_connection_limits(reader: FieldReader) -> ConnectionLimits:
+def read_connection_limits(
+    reader: FieldReader,
+    defaults: type[ConnectionLimits] = ConnectionLimits,
+) -> ConnectionLimits:
     """Reads and returns the optional section `connections`.
 
     Args:
         reader: The reader.
+        defaults: Limits that hold if they are not set.
     """
-    return reader.positive_fields(
-        'connections', ConnectionLimits, MAX_CONNECTION_LIMIT
+    limits = reader.positive_fields(
+        'connections', defaults, MAX_CONNECTION_LIMIT
     )
+    for kind in ('read_ahead', 'body', 'reply'):
+        highest = getattr(limits, f'total_{kind}_bytes')
+        if getattr(limits, f'max_{kind}_bytes') > highest:
+            rule = f'must be up to total_{kind}_bytes, which is {highest}'
+            reader.add(f'connections.max_{kind}_bytes', rule)
+    return limits
 
 
 def is_ip_address(host: str) -> bool:
--- a/packages/node/cactushead_node/tests/test_pages.py
+++ b/packages/node/cactushead_node/tests/test_pages.py
@@ -11,7 +11,7 @@
 from cactushead_core.jobs import Refusal, RefusalReason
 
 from cactushead_node.callers.reply import refusal_reply
-from cactushead_node.http import BodyError
+from cactushead_node.http import BodyError, ConnectionCounters
 from cactushead_node.peers.counters import LinkCounters
 from cactushead_node.runtime import SYNC_METRIC
 from cactushead_node.settings import (
@@ -143,7 +143,11 @@
 def test_metrics_are_on_the_page():
     metrics = set(re.findall(r"\b(?:Measure|Count)\(\s*'(\w+)'", SOURCES))
     assert metrics | {SYNC_METRIC} <= set(ROWS)
-    for part, data_type in (('links', LinkCounters), ('state', EntryState)):
+    for part, data_type in (
+        ('links', LinkCounters),
+        ('connections', ConnectionCounters),
+        ('state', EntryState),
+    ):
         for field in dataclasses.fields(data_type):
             assert f'{part}.{field.name}' in ROWS
 
