Limit accepted links whose peer is not identified

What callers saw: connections to the port of the links that send nothing used up the descriptors of an entry or agent, while it wrote a log line with a traceback ten times a second.

Cause: each accepted link waits up to 3 s for its handshake, and nothing limited how many do.

Change: `connections.max_handshakes` limits them; at the limit the one that was accepted first is closed, and `links.closed_handshakes` counts it. Peers identify themselves at once, so they are not among the oldest. A listener without a descriptor makes room, pauses and logs one line in 10 s.

--- a/packages/node/cactushead_node/composition/entry.py
+++ b/packages/node/cactushead_node/composition/entry.py
@@ -173,6 +173,7 @@
                 self._links,
                 settings.peers.host,
                 settings.peers.port,
+                settings.connections.max_handshakes,
             )
         dial_voters(nursery, self._links, _voters_to_dial(settings))
         return peers_port
--- a/packages/node/cactushead_node/fleet/agent_process.py
+++ b/packages/node/cactushead_node/fleet/agent_process.py
@@ -73,7 +73,9 @@
         self._settings = settings
         self._upstream = upstream
         self._heartbeats = heartbeats
-        self._process_links = ProcessLinks(settings.own, incarnation)
+        self._process_links = ProcessLinks(
+            settings.own, incarnation, settings.connections.max_handshakes
+        )
         leasing = LeasingSettings(
             settings.own.name,
             lease_s=settings.lease_s,
--- a/packages/node/cactushead_node/fleet/entry_process.py
+++ b/packages/node/cactushead_node/fleet/entry_process.py
@@ -80,7 +80,9 @@
         self._storage = _open_data_dir(settings.data_dir)
         disk = '' if self._storage is None else self._storage.incarnation
         own = replace(settings.own, disk_incarnation=disk)
-        self._process_links = ProcessLinks(own, incarnation)
+        self._process_links = ProcessLinks(
+            own, incarnation, settings.connections.max_handshakes
+        )
         node = FleetEntry(
             FleetSettings(
                 own,
--- a/packages/node/cactushead_node/fleet/process_links.py
+++ b/packages/node/cactushead_node/fleet/process_links.py
@@ -21,12 +21,19 @@
         links: Links to all peers.
     """
 
-    def __init__(self, own: MemberAddress, incarnation: str) -> None:
+    def __init__(
+        self,
+        own: MemberAddress,
+        incarnation: str,
+        max_handshakes: int,
+    ) -> None:
         """Creates the event queue and an empty set of links.
 
         Args:
             own: Identity and link address of the process.
             incarnation: Unique id of this start of the process.
+            max_handshakes: Largest number of accepted links without an
+                identified peer.
         """
         self.event_queue = EventQueue()
         hello = Hello(own.name, own.role, incarnation, FLEET_CELL)
@@ -34,6 +41,7 @@
             hello, self.event_queue.put, stale_s=LINK_STALE_AFTER_S
         )
         self._own = own
+        self._max_handshakes = max_handshakes
         self._nursery: trio.Nursery | None = None
 
     async def run(
@@ -53,6 +61,7 @@
                 self.links,
                 self._own.host,
                 self._own.port,
+                self._max_handshakes,
             )
             task_status.started()
 
--- a/packages/node/cactushead_node/peers/counters.py
+++ b/packages/node/cactushead_node/peers/counters.py
@@ -19,6 +19,8 @@
         dropped_links: Links that this process aborted because the peer read
             too slowly, sent an invalid frame, was silent or was replaced.
         refused_links: Links closed because of an invalid first frame.
+        closed_handshakes: Accepted links closed to make room for others before
+            their peer was identified.
     """
 
     sent_frames: int = 0
@@ -30,6 +32,7 @@
     dropped_messages: int = 0
     dropped_links: int = 0
     refused_links: int = 0
+    closed_handshakes: int = 0
 
     def count_sent(self, messages: int, size_bytes: int) -> None:
         """Counts a frame that was written to a link.
--- a/packages/node/cactushead_node/peers/links.py
+++ b/packages/node/cactushead_node/peers/links.py
@@ -2,7 +2,7 @@
 
 import logging
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from functools import partial
 
@@ -173,12 +173,18 @@
             return False
         return True
 
-    async def run_socket(self, socket: Connection, expected: str = '') -> None:
+    async def run_socket(
+        self,
+        socket: Connection,
+        expected: str = '',
+        on_identified: Callable[[], None] | None = None,
+    ) -> None:
         """Performs the handshake on an open WebSocket and runs the link.
 
         Args:
             socket: The WebSocket.
             expected: Required name of the peer; empty for any.
+            on_identified: Called when the peer is identified.
         """
         try:
             hello = await self._exchange_hellos(socket, expected)
@@ -187,6 +193,8 @@
             _log.warning('peers: refused a link: %s', error)
             await close_socket(socket)
             return
+        if on_identified is not None:
+            on_identified()
         link = Link(socket, hello.peer, self.counters)
         if not self._accept_link(link):
             await close_socket(socket)
--- a/packages/node/cactushead_node/peers/listener.py
+++ b/packages/node/cactushead_node/peers/listener.py
@@ -1,8 +1,13 @@
 """Server that accepts links from other processes."""
 
+from functools import partial
+
 import trio
+from websockets.trio.connection import Connection
 from websockets.trio.server import serve
 
+from ..settings import ConnectionLimits
+from .handshakes import Handshakes, LinkListener
 from .link import CLOSE_TIMEOUT_S
 from .links import (
     HELLO_TIMEOUT_S,
@@ -11,11 +16,14 @@
     PeerLinks,
 )
 
+MAX_HANDSHAKES = ConnectionLimits().max_handshakes
+
 
 async def listen(
     links: PeerLinks,
     host: str,
     port: int,
+    max_handshakes: int = MAX_HANDSHAKES,
     task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Accepts links until it is cancelled.
@@ -24,12 +32,22 @@
         links: Links of this process.
         host: IP address to listen on.
         port: TCP port, 0 for any.
+        max_handshakes: Largest number of links without an identified peer.
         task_status: Receives the port when the server listens.
     """
-    listeners = await trio.open_tcp_listeners(port, host=host)
+    handshakes = Handshakes(max_handshakes, links.counters)
+    listeners = [
+        LinkListener(listener, handshakes)
+        for listener in await trio.open_tcp_listeners(port, host=host)
+    ]
     task_status.started(listeners[0].socket.getsockname()[1])
+
+    async def run_link(socket: Connection) -> None:
+        on_identified = partial(handshakes.end, socket.stream)
+        await links.run_socket(socket, on_identified=on_identified)
+
     await serve(
-        links.run_socket,
+        run_link,
         listeners=listeners,
         compression=None,
         ping_interval=links.ping_interval_s,
