--- a/packages/node/cactushead_node/storage/atomic_file.py
+++ b/packages/node/cactushead_node/storage/atomic_file.py
@@ -1,6 +1,9 @@
 """Atomic replacement of single-record files: vote, snapshot, identity."""
 
+import errno
+import logging
 import os
+import time
 from pathlib import Path
 
 import cbor2
@@ -10,6 +13,42 @@
 
 TEMPORARY_SUFFIX = '.tmp'
 FILE_MODE = 0o644
+# Pause between attempts to open a file without a descriptor for it.
+DESCRIPTOR_WAIT_S = 0.05
+
+_NO_DESCRIPTOR = frozenset((errno.EMFILE, errno.ENFILE))
+
+_log = logging.getLogger('cactushead.storage')
+
+
+def open_file(path: Path, flags: int) -> int:
+    """Opens a file; waits while the process has no descriptor for it.
+
+    Explanation:
+        Descriptors are used up by connections, which end again. A write that
+        failed instead would end the process.
+
+    Args:
+        path: Path of the file.
+        flags: Flags of the system call.
+
+    Returns:
+        The descriptor.
+
+    Raises:
+        OSError: The file can't be opened for another reason.
+    """
+    warned = False
+    while True:
+        try:
+            return os.open(path, flags, FILE_MODE)
+        except OSError as error:
+            if error.errno not in _NO_DESCRIPTOR:
+                raise
+            if not warned:
+                _log.warning('storage: waits for a descriptor: %s', error)
+            warned = True
+        time.sleep(DESCRIPTOR_WAIT_S)
 
 
 def write_record_file(path: Path, fields: list[object], salt: int) -> None:
@@ -34,7 +73,8 @@
         contents: New contents of the file.
     """
     temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
-    with temporary.open('wb') as stream:
+    flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
+    with os.fdopen(open_file(temporary, flags), 'wb') as stream:
         stream.write(contents)
         stream.flush()
         os.fsync(stream.fileno())
@@ -56,7 +96,7 @@
 
 def sync_folder(folder: Path) -> None:
     """Syncs the entries of a folder, such as created or renamed files."""
-    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    descriptor = open_file(folder, os.O_RDONLY | os.O_DIRECTORY)
     try:
         os.fsync(descriptor)
     finally:
--- a/packages/node/cactushead_node/storage/log_file.py
+++ b/packages/node/cactushead_node/storage/log_file.py
@@ -16,7 +16,7 @@
 from cactushead_core.effects import LogEntry
 from cactushead_core.errors import CorruptRecordError, StorageError
 
-from .atomic_file import FILE_MODE, replace_file, sync_folder
+from .atomic_file import open_file, replace_file, sync_folder
 from .records import (
     has_record_after,
     iterate_records,
@@ -143,7 +143,7 @@
 def _open_file(path: Path) -> int:
     existed = path.exists()
     flags = os.O_RDWR | os.O_APPEND | os.O_CREAT
-    descriptor = os.open(path, flags, FILE_MODE)
+    descriptor = open_file(path, flags)
     if not existed:
         sync_folder(path.parent)
     return descriptor
