Keep no holdings of nothing, and copy no large reply

What callers would have seen: each request without a body left a holding of size 0 in the pool of bodies for good, which could also be chosen to end in place of one that holds memory. Found in the review of the limits, before any release.

Change: growth by nothing is none.

Evidence: `test_holding_of_nothing_is_not_kept` failed before.

--- a/packages/node/cactushead_node/holdings.py
+++ b/packages/node/cactushead_node/holdings.py
@@ -114,6 +114,8 @@
         Raises:
             PoolExhaustedError: There is no room and no holding can end.
         """
+        if not size:
+            return
         self._holdings.setdefault(holding)
         holding.size += size
         self.used += size
--- a/packages/node/cactushead_node/http/http1.py
+++ b/packages/node/cactushead_node/http/http1.py
@@ -6,6 +6,7 @@
     ahead, up to a limit; otherwise nothing is read.
 """
 
+import logging
 import time
 from email.utils import formatdate
 from functools import lru_cache
@@ -34,6 +35,8 @@
 LINGER_S = 1.0
 NO_BODY_METHOD = b'HEAD'
 
+_log = logging.getLogger('cactushead.connections')
+
 DISCONNECTED: AsgiMessage = {'type': 'http.disconnect'}
 
 _Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
@@ -269,15 +272,19 @@
         """Sends a reply, as a holding that ends if the client stalls."""
         if self._is_last:
             response = _with_close(response)
-        parts = [self._http.send(response) or b'']
+        head = self._http.send(response) or b''
+        content = b''
         if self._request is None or self._request.method != NO_BODY_METHOD:
-            parts.append(self._http.send(h11.Data(data=body)) or b'')
-        parts.append(self._http.send(h11.EndOfMessage()) or b'')
+            content = self._http.send(h11.Data(data=body)) or b''
+        self._http.send(h11.EndOfMessage())
         self._slot.wait()
         self._reply_holding.grow(
             min(len(body), self._guard.limits.max_reply_bytes)
         )
-        await self._stream.send_all(b''.join(parts), self._reply_holding.renew)
+        if len(content) <= READ_BYTES:
+            head, content = head + content, b''
+        await self._stream.send_all(head)
+        await self._stream.send_all(content, self._reply_holding.renew)
         self._reply_holding.release()
 
     async def _prepare_next(self) -> bool:
@@ -302,12 +309,12 @@
 
     def _discard_body(self) -> None:
         """Discards what was received of a body that wasn't wanted."""
-        try:
-            while not self._body_complete:
-                if not isinstance(self._parse_body(), h11.Data):
-                    return
-        except h11.RemoteProtocolError:
+        if self._body_complete:
             return
+        try:
+            self._parse_chunks()
+        except h11.RemoteProtocolError as error:
+            _log.debug('connections: a body was not valid: %s', error)
 
     async def _refuse(self, error: h11.RemoteProtocolError) -> None:
         """Replies to a request that is not valid HTTP."""
--- a/packages/node/cactushead_node/http/http2.py
+++ b/packages/node/cactushead_node/http/http2.py
@@ -211,9 +211,8 @@
     def _count_unparsed(self, size_bytes: int) -> None:
         """Counts bytes of a frame, or block of headers, without its end."""
         unparsed_bytes = self._unparsed_bytes + size_bytes if size_bytes else 0
-        self._ahead.resize(
-            self._ahead.size - self._unparsed_bytes + unparsed_bytes
-        )
+        kept_bytes = max(self._ahead.size - self._unparsed_bytes, 0)
+        self._ahead.resize(kept_bytes + unparsed_bytes)
         self._unparsed_bytes = unparsed_bytes
 
     def _handle(self, event: events.Event, nursery: trio.Nursery) -> None:
--- a/packages/node/cactushead_node/tests/test_holdings.py
+++ b/packages/node/cactushead_node/tests/test_holdings.py
@@ -73,6 +73,18 @@
     assert [holder.ended for holder in (*kept, late)] == [True, False, False]
 
 
+# Guards against holdings of nothing, as of requests without a body, that are
+# kept for ever and ended in place of others.
+def test_holding_of_nothing_is_not_kept():
+    pool = OldestFirstPool(1)
+    empty, last = Holder(pool), Holder(pool)
+    empty.holding.grow(0)
+    empty.holding.release()
+    pool.evict_one()
+    last.holding.grow(1)
+    assert (empty.ended, last.ended, pool.evicted) == (False, False, 0)
+
+
 # Guards against room that a refused holding keeps.
 def test_refused_growth_leaves_the_holding_as_it_was():
     pool = OldestFirstPool(10)
