Give both versions of HTTP one base class

What a reader met: the two kinds of connections repeated their construction, and the server knew them by a structural type. The house rule asks for an abstract base class where behaviour varies.

Change: `HttpConnection` holds what both share and releases it at the end.

--- a/packages/node/cactushead_node/http/http1.py
+++ b/packages/node/cactushead_node/http/http1.py
@@ -15,25 +15,24 @@
 import h11
 import trio
 
-from ..holdings import Holding
 from .asgi import AsgiApp, AsgiMessage, Scope
+from .connection import (
+    KEEP_ALIVE_S,
+    NO_BODY_METHOD,
+    READ_BYTES,
+    HttpConnection,
+)
 from .guard import ConnectionGuard, ConnectionSlot
 from .stream import WriteTimeoutStream
 
-# Load balancers reuse idle connections. The time-out is long, so that the
-# server does not close a connection while a request is on its way to it.
-KEEP_ALIVE_S = 75.0
 HEAD_TIMEOUT_S = 30.0
 # Largest head of a request.
 MAX_HEAD_BYTES = 32_768
-# Bytes that are read at once; the parser keeps up to twice as many.
-READ_BYTES = 16_384
 # Chunks of a body that are parsed without a pause.
 MAX_PART_CHUNKS = 32
 # Time in which a client that still sends may read the reply that refuses what
 # it sends, before the connection is closed.
 LINGER_S = 1.0
-NO_BODY_METHOD = b'HEAD'
 
 _log = logging.getLogger('cactushead.connections')
 
@@ -42,8 +41,8 @@
 _Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 
-class Http1Connection:
-    """Reads requests, calls the application and writes its replies."""
+class Http1Connection(HttpConnection):
+    """Serves one request after the other."""
 
     def __init__(
         self,
@@ -53,27 +52,13 @@
         slot: ConnectionSlot,
         scope: trio.CancelScope,
     ) -> None:
-        """Wraps an accepted connection.
-
-        Args:
-            app: The application.
-            stream: The connection.
-            guard: Limits of all connections.
-            slot: Place of this connection among all.
-            scope: Ends the connection when it is cancelled.
-        """
-        self._app = app
-        self._stream = stream
-        self._slot = slot
-        self._guard = guard
+        """Wraps an accepted connection; see `HttpConnection`."""
+        super().__init__(app, stream, guard, slot, scope)
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._ahead = bytearray()
-        self._ahead_holding = Holding(guard.read_ahead, scope.cancel)
-        self._reply_holding = Holding(guard.replies, scope.cancel)
         self._idle_scope: trio.CancelScope | None = None
-        self._closing = False
         self._request: h11.Request | None = None
         self._body_complete = False
         self._end_delivered = False
@@ -81,23 +66,6 @@
         self._invalid: h11.RemoteProtocolError | None = None
         self._response: h11.Response | None = None
 
-    async def run(self, received: bytes) -> None:
-        """Serves until the client closes the connection, or a limit is met.
-
-        Args:
-            received: Bytes that were received already.
-        """
-        self._http.receive_data(received)
-        self._ahead_holding.resize(len(received))
-        try:
-            await self._serve_requests()
-        except trio.BrokenResourceError:
-            # The client has left; there is no one to reply to.
-            return
-        finally:
-            self._ahead_holding.release()
-            self._reply_holding.release()
-
     def close_when_idle(self) -> None:
         """Closes the connection once no request is in progress."""
         self._closing = True
@@ -109,6 +77,14 @@
         """Whether the connection closes and no other request has arrived."""
         return self._closing and not self._ahead_holding.size
 
+    async def _serve(self, received: bytes) -> None:
+        self._http.receive_data(received)
+        self._ahead_holding.resize(len(received))
+        try:
+            await self._serve_requests()
+        except trio.BrokenResourceError as error:
+            _log.debug('connections: a client has left: %s', error)
+
     async def _serve_requests(self) -> None:
         while await self._receive_head():
             await self._app(self._make_scope(), self._receive, self._send)
--- a/packages/node/cactushead_node/http/http2.py
+++ b/packages/node/cactushead_node/http/http2.py
@@ -7,6 +7,7 @@
     sends without reading.
 """
 
+import logging
 from functools import partial
 from urllib.parse import unquote
 
@@ -20,14 +21,14 @@
 
 from ..holdings import Holding, PoolExhaustedError
 from .asgi import AsgiApp, AsgiMessage, Scope
-from .guard import ConnectionGuard, ConnectionSlot
-from .http1 import (
-    DISCONNECTED,
+from .connection import (
     KEEP_ALIVE_S,
+    NO_BODY_METHOD,
     READ_BYTES,
-    http_date,
-    request_message,
+    HttpConnection,
 )
+from .guard import ConnectionGuard, ConnectionSlot
+from .http1 import DISCONNECTED, http_date, request_message
 from .stream import SEND_TIMEOUT_S, WriteTimeoutStream
 
 # Streams that a client may reset beyond those that were replied to.
@@ -37,7 +38,8 @@
 # Ended streams of which the protocol library remembers how they ended.
 MAX_REMEMBERED_STREAMS = 128
 CLOSE_TIMEOUT_S = 1.0
-NO_BODY_METHOD = b'HEAD'
+
+_log = logging.getLogger('cactushead.connections')
 
 
 class _Protocol(H2Connection):
@@ -97,8 +99,8 @@
         self.changed = trio.Event()
 
 
-class Http2Connection:
-    """Reads requests, calls the application and writes its replies."""
+class Http2Connection(HttpConnection):
+    """Serves the requests of all streams at the same time."""
 
     def __init__(
         self,
@@ -108,40 +110,22 @@
         slot: ConnectionSlot,
         scope: trio.CancelScope,
     ) -> None:
-        """Wraps an accepted connection.
-
-        Args:
-            app: The application.
-            stream: The connection.
-            guard: Limits of all connections.
-            slot: Place of this connection among all.
-            scope: Ends the connection when it is cancelled.
-        """
-        self._app = app
-        self._tcp = stream
-        self._guard = guard
-        self._slot = slot
+        """Wraps an accepted connection; see `HttpConnection`."""
+        super().__init__(app, stream, guard, slot, scope)
         self._protocol = _Protocol(
             H2Configuration(client_side=False, header_encoding=None)
         )
         self._streams: dict[int, _Stream] = {}
-        self._ahead = Holding(guard.read_ahead, scope.cancel)
         self._unparsed_bytes = 0
         self._unanswered_resets = 0
         self._control_frames = 0
-        self._closing = False
         self._read_scope = trio.CancelScope()
         self._window_changed = trio.Event()
         self._write_wanted = trio.Event()
         self._writer_idle = trio.Event()
         self._send_turn = trio.StrictFIFOLock()
 
-    async def run(self, received: bytes) -> None:
-        """Serves until the client closes the connection, or a limit is met.
-
-        Args:
-            received: Bytes that were received already.
-        """
+    async def _serve(self, received: bytes) -> None:
         self._protocol.update_settings(
             {
                 SettingCodes.MAX_CONCURRENT_STREAMS: (
@@ -158,11 +142,8 @@
                 with trio.move_on_after(CLOSE_TIMEOUT_S):
                     await self._writer_idle.wait()
                 nursery.cancel_scope.cancel()
-        except* trio.BrokenResourceError:
-            # The client has left, or doesn't read.
-            self._closing = True
-        finally:
-            self._ahead.release()
+        except* trio.BrokenResourceError as errors:
+            _log.debug('connections: a client has left: %s', errors.exceptions)
 
     def close_when_idle(self) -> None:
         """Closes the connection once no request is in progress."""
@@ -184,7 +165,7 @@
         """Returns what the client sends; no bytes if it is idle."""
         while True:
             with trio.move_on_after(KEEP_ALIVE_S):
-                return await self._tcp.receive_some(READ_BYTES)
+                return await self._stream.receive_some(READ_BYTES)
             if not self._streams:
                 return b''
 
@@ -211,8 +192,8 @@
     def _count_unparsed(self, size_bytes: int) -> None:
         """Counts bytes of a frame, or block of headers, without its end."""
         unparsed_bytes = self._unparsed_bytes + size_bytes if size_bytes else 0
-        kept_bytes = max(self._ahead.size - self._unparsed_bytes, 0)
-        self._ahead.resize(kept_bytes + unparsed_bytes)
+        kept_bytes = max(self._ahead_holding.size - self._unparsed_bytes, 0)
+        self._ahead_holding.resize(kept_bytes + unparsed_bytes)
         self._unparsed_bytes = unparsed_bytes
 
     def _handle(self, event: events.Event, nursery: trio.Nursery) -> None:
@@ -267,7 +248,7 @@
                 size_bytes, event.stream_id
             )
             return
-        self._ahead.grow(size_bytes)
+        self._ahead_holding.grow(size_bytes)
         stream.body += event.data
         stream.unacknowledged_bytes += size_bytes
         stream.notify()
@@ -343,7 +324,9 @@
         stream.unacknowledged_bytes = 0
         if not size_bytes:
             return
-        self._ahead.resize(max(self._ahead.size - size_bytes, 0))
+        self._ahead_holding.resize(
+            max(self._ahead_holding.size - size_bytes, 0)
+        )
         try:
             self._protocol.acknowledge_received_data(
                 size_bytes, stream.stream_id
@@ -429,7 +412,7 @@
             self._write_wanted = trio.Event()
             frames = self._protocol.data_to_send()
             while frames:
-                await self._tcp.send_all(frames)
+                await self._stream.send_all(frames)
                 frames = self._protocol.data_to_send()
             self._control_frames = 0
             self._writer_idle.set()
--- a/packages/node/cactushead_node/http/server.py
+++ b/packages/node/cactushead_node/http/server.py
@@ -9,15 +9,15 @@
 import logging
 from collections.abc import Awaitable, Callable
 from importlib import import_module
-from typing import Protocol
 
 import trio
 
 from ..accepting import PatientListener
 from ..holdings import PoolExhaustedError
 from .asgi import AsgiApp
+from .connection import KEEP_ALIVE_S, READ_BYTES, HttpConnection
 from .guard import ConnectionGuard, ConnectionSlot
-from .http1 import KEEP_ALIVE_S, READ_BYTES, Http1Connection
+from .http1 import Http1Connection
 from .stream import WriteTimeoutStream
 
 LOGGER = logging.getLogger('cactushead.callers')
@@ -76,16 +76,6 @@
     server.close()
 
 
-class _HttpConnection(Protocol):
-    """A connection of either version of HTTP."""
-
-    async def run(self, received: bytes) -> None:
-        """Serves until the connection ends."""
-
-    def close_when_idle(self) -> None:
-        """Closes the connection once no request is in progress."""
-
-
 class _Connection:
     """An accepted connection.
 
@@ -99,7 +89,7 @@
         """Creates a connection that has no slot yet."""
         self.scope = trio.CancelScope()
         self.slot: ConnectionSlot | None = None
-        self.http: _HttpConnection | None = None
+        self.http: HttpConnection | None = None
 
     def close_when_idle(self) -> None:
         """Closes the connection once no request is in progress."""
@@ -185,7 +175,7 @@
         received = await _receive_start(stream)
         if not received:
             return
-        make_http: Callable[..., _HttpConnection] = Http1Connection
+        make_http: Callable[..., HttpConnection] = Http1Connection
         if received.startswith(HTTP2_PREFACE):
             if not self._http2:
                 return
