Let a slow reader have a reply whose request's body was not read

What callers would have seen: over HTTP/1.1 a large reply to a request whose handler doesn't read the body was cut off a second after the next chunk could not be written.

Cause: while such a reply is sent, the rest of the body is discarded, and the end of the connection ends the reply. The state of the parser says that the reply is complete when it is queued, not when it is written, and was taken for that end.

Change: the connection says that its client has left only after the whole reply was written, or when it was closed.

--- a/packages/node/cactushead_node/fleet/tests/test_parse.py
+++ b/packages/node/cactushead_node/fleet/tests/test_parse.py
@@ -1,6 +1,7 @@
 """Tests of parsing and validating the settings of a fleet's processes."""
 
 import json
+from dataclasses import replace
 
 import pytest
 from cactushead_core.discovery import Endpoint
@@ -30,6 +31,9 @@
     'far_factor': 1.5,
 }
 AGENT = SHARED | {'heartbeats': '10.0.0.1:8166'}
+# Of a process without connections, and of a connection with its parser.
+PROCESS_MB = 64
+CONNECTION_BYTES = 40_000
 PARSERS = {
     'entry': (parse_entry_settings, ENTRY),
     'agent': (parse_agent_settings, AGENT),
@@ -116,3 +120,45 @@
     for parser, _ in PARSERS.values():
         with pytest.raises(SettingsError):
             parser(body)
+
+
+# Guards against limits that nothing can meet, or that exclude each other.
+@pytest.mark.parametrize('role', PARSERS)
+def test_connection_limits_are_read(role):
+    settings = parse(role, connections={'max_connections': 7})
+    defaults = parse(role).connections
+    assert settings.connections.max_connections == 7
+    assert settings.connections == replace(defaults, max_connections=7)
+
+
+@pytest.mark.parametrize('role', PARSERS)
+@pytest.mark.parametrize(
+    ('limits', 'place'),
+    [
+        ({'max_connections': 0}, 'connections.max_connections'),
+        ({'max_sockets': 5}, 'connections.max_sockets'),
+        ({'total_body_bytes': 1000}, 'connections.max_body_bytes'),
+    ],
+)
+def test_bad_connection_limits_are_findings(role, limits, place):
+    with pytest.raises(SettingsError) as raised:
+        parse(role, connections=limits)
+    assert [finding.place for finding in raised.value.findings] == [place]
+
+
+# Guards against defaults that a process inside its memory can't keep.
+@pytest.mark.parametrize(
+    ('role', 'listeners', 'memory_mb'), [('entry', 3, 300), ('agent', 1, 168)]
+)
+def test_default_limits_fit_the_memory_of_the_smallest_machines(
+    role, listeners, memory_mb
+):
+    limits = parse(role).connections
+    connections = listeners * limits.max_connections + limits.max_handshakes
+    held_bytes = (
+        limits.total_read_ahead_bytes
+        + limits.total_body_bytes
+        + limits.total_reply_bytes
+        + connections * CONNECTION_BYTES
+    )
+    assert held_bytes < (memory_mb - PROCESS_MB) * 1024 * 1024
--- a/packages/node/cactushead_node/http/exchange.py
+++ b/packages/node/cactushead_node/http/exchange.py
@@ -151,14 +151,11 @@
         """Sends the reply.
 
         Explanation:
-            The server queues a limited number of chunks of a body and then
-            blocks. The rest of a body that was rejected before it was read
-            completely is therefore discarded while the reply is sent. Over
-            HTTP/2 the rest is discarded before the reply: hypercorn closes
-            the connection, with all its other requests, when it receives
-            more of a body after the reply. Hypercorn also never returns from
-            sending an HTTP/2 reply that can no longer be delivered, so the
-            send is cancelled after a disconnect.
+            The rest of a body that was rejected before it was read completely
+            is discarded while the reply is sent, as many clients don't read
+            before they have sent all. Over HTTP/2 it is discarded before the
+            reply, so that the stream ends without a reset. A reply that can't
+            be delivered is given up some time after the disconnect.
         """
         if self._body_read and not self._http2:
             await self._send_reply(reply)
--- a/packages/node/cactushead_node/http/http1.py
+++ b/packages/node/cactushead_node/http/http1.py
@@ -63,6 +63,7 @@
         self._body_complete = False
         self._end_delivered = False
         self._has_small_chunks = False
+        self._replied = False
         self._invalid: h11.RemoteProtocolError | None = None
         self._response: h11.Response | None = None
 
@@ -105,6 +106,7 @@
         self._body_complete = False
         self._end_delivered = False
         self._has_small_chunks = False
+        self._replied = False
         self._response = None
         if not self._http.they_are_waiting_for_100_continue:
             self._complete_without_body()
@@ -162,7 +164,7 @@
     async def _receive(self) -> AsgiMessage:
         """Returns the next part of the request, or that the client left."""
         if self._end_delivered:
-            if self._http.our_state is h11.SEND_RESPONSE:
+            if not self._replied:
                 await self._read_until_closed()
             return DISCONNECTED
         try:
@@ -262,6 +264,7 @@
         await self._stream.send_all(head)
         await self._stream.send_all(content, self._reply_holding.renew)
         self._reply_holding.release()
+        self._replied = True
 
     async def _prepare_next(self) -> bool:
         """Returns whether another request may follow on the connection."""
--- a/packages/node/cactushead_node/http/tests/test_http1.py
+++ b/packages/node/cactushead_node/http/tests/test_http1.py
@@ -16,6 +16,9 @@
 HOST = '127.0.0.1'
 POST = b'POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}'
 CLOSE = b'Connection: close\r\n'
+# More than the buffers of a connection on loopback take.
+LARGE_BYTES = 16_000_000
+SLOW_READ_S = 1.5
 
 
 class Echo:
@@ -27,15 +30,17 @@
 
     async def __call__(self, scope, receive, send):
         exchange = Exchange(scope, receive, send)
-        if exchange.raw_path != '/unread':
+        if not exchange.raw_path.startswith('/unread'):
             try:
                 await exchange.read_body(BodyBudget())
             except CallerDisconnectedError:
                 return
         body = exchange.take_body()
         await self.released.wait()
-        path = exchange.raw_path.encode()
+        path = exchange.raw_path.partition('?')[0].encode()
         text = b'<%b %b %b>' % (exchange.method.encode(), path, body)
+        if exchange.query == 'large':
+            text += bytes(LARGE_BYTES)
         await exchange.send(Reply(HTTPStatus.OK, text))
 
 
@@ -142,6 +147,26 @@
     run(send)
 
 
+# Guards against a large reply that is cut off because its reader is slow, or
+# has sent the next request.
+@pytest.mark.parametrize('path', [b'/echo', b'/unread'])
+@pytest.mark.parametrize('behind', [b'', POST])
+def test_slow_reader_gets_its_whole_reply(path, behind):
+    async def send(connect, app, stop):
+        async with await connect() as stream:
+            await stream.send_all(
+                b'GET %b?large HTTP/1.1\r\nHost: h\r\n\r\n' % path + behind
+            )
+            await trio.sleep(SLOW_READ_S)
+            received = 0
+            while received < LARGE_BYTES:
+                data = await stream.receive_some(1_000_000)
+                assert data, received
+                received += len(data)
+
+    run(send)
+
+
 # Guards against invalid requests that are handled, or get no reply.
 @pytest.mark.parametrize(
     ('request_bytes', 'status'),
--- a/packages/node/cactushead_node/peers/listener.py
+++ b/packages/node/cactushead_node/peers/listener.py
@@ -48,7 +48,8 @@
 
     await serve(
         run_link,
-        listeners=listeners,
+        # The library uses a listener's socket, `accept` and `aclose` only.
+        listeners=listeners,  # type: ignore[arg-type]
         compression=None,
         ping_interval=links.ping_interval_s,
         ping_timeout=PING_TIMEOUT_S,
