Handle requests sent ahead in turns

Cause: each of the 1,000 connections that were kept began its next request in each pass of the event loop. A pass took about as long as the links to other processes tolerate, and jobs had no agents.

Change: a request that was in memory before the reply to the one before it waits for a turn, one in each pass, as do parts of bodies in small chunks. A client that sends a request after it has its reply waits for none, and a single one that sends ahead gets a turn in each pass.

Evidence: the test counts passes in which more than four requests begin, of 30 clients that send 100 ahead: 100 before, none or one now.

--- a/packages/node/cactushead_node/http/guard.py
+++ b/packages/node/cactushead_node/http/guard.py
@@ -58,7 +58,6 @@
         read_ahead: Bytes that were received before their turn.
         replies: Replies that were not taken yet.
         streams: Requests in progress on HTTP/2 connections.
-        parsing: Is held while one of the bodies in small chunks is parsed.
         cut_off: Connections that passed their own limit of bytes read ahead.
         refused_streams: HTTP/2 requests refused by the limit of a connection.
     """
@@ -76,7 +75,7 @@
         self.read_ahead = LargestFirstPool(self.limits.total_read_ahead_bytes)
         self.replies = OldestFirstPool(self.limits.total_reply_bytes)
         self.streams = OldestFirstPool(self.limits.total_streams)
-        self.parsing = trio.StrictFIFOLock()
+        self._turns = trio.StrictFIFOLock()
         self.cut_off = 0
         self.refused_streams = 0
         self._all_connections = OldestFirstPool(
@@ -138,6 +137,16 @@
             raise
         return slot
 
+    async def wait_for_turn(self) -> None:
+        """Waits for a pass of the event loop of its own.
+
+        Explanation:
+            What many clients have sent ahead would take one pass otherwise,
+            and all other tasks of the process would wait for its end.
+        """
+        async with self._turns:
+            await trio.lowlevel.checkpoint()
+
     def close_oldest(self) -> None:
         """Closes the connection that has waited longest for its client."""
         self._all_connections.evict_one()
--- a/packages/node/cactushead_node/http/http1.py
+++ b/packages/node/cactushead_node/http/http1.py
@@ -95,6 +95,9 @@
     async def _receive_head(self) -> bool:
         """Receives the head of a request; returns whether there is one."""
         self._slot.wait()
+        if self._ahead_holding.size and self._request is not None:
+            await self._guard.wait_for_turn()
+        self._request = None
         try:
             event = await self._next_head_event()
         except h11.RemoteProtocolError as error:
@@ -196,14 +199,11 @@
 
         Explanation:
             Small chunks take long to parse. Beyond the first part of a body
-            they are parsed for one connection at a time, a part in each pass
-            of the event loop, so that other tasks go on.
+            their parts are parsed in turns.
         """
-        if not self._has_small_chunks:
-            return self._parse_chunks()
-        async with self._guard.parsing:
-            await trio.lowlevel.checkpoint()
-            return self._parse_chunks()
+        if self._has_small_chunks:
+            await self._guard.wait_for_turn()
+        return self._parse_chunks()
 
     def _parse_chunks(self) -> bytes:
         body = bytearray()
@@ -280,7 +280,6 @@
         if states != (h11.DONE, h11.DONE) or self._is_last:
             return False
         self._http.start_next_cycle()
-        self._request = None
         if self._ahead:
             self._http.receive_data(bytes(self._ahead))
             self._ahead = bytearray()
--- a/packages/node/cactushead_node/http/tests/test_http1.py
+++ b/packages/node/cactushead_node/http/tests/test_http1.py
@@ -167,6 +167,21 @@
     run(send)
 
 
+# Guards against a reply without the body that it announces, as if it were the
+# reply to the request before.
+def test_invalid_request_behind_head_is_refused():
+    async def send(connect, app, stop):
+        async with await connect() as stream:
+            await stream.send_all(
+                b'HEAD /x HTTP/1.1\r\nHost: h\r\n\r\n?\r\n\r\n'
+            )
+            reply = await read_until(stream, b'}')
+        assert b'HTTP/1.1 400' in reply
+        assert reply.endswith(b'}')
+
+    run(send)
+
+
 # Guards against invalid requests that are handled, or get no reply.
 @pytest.mark.parametrize(
     ('request_bytes', 'status'),
--- a/packages/node/cactushead_node/http/tests/test_limits.py
+++ b/packages/node/cactushead_node/http/tests/test_limits.py
@@ -19,12 +19,14 @@
     Reply,
     serve_http,
 )
+from cactushead_node.http.http1 import Http1Connection
 from cactushead_node.settings import ConnectionLimits
 
 HOST = '127.0.0.1'
 GET = b'GET %b HTTP/1.1\r\nHost: h\r\n\r\n'
 LARGE_REPLY_BYTES = 8_000_000
 TIMEOUT_S = 20.0
+MANY_STARTS = 4
 FIELDS = [(':scheme', 'http'), (':authority', 'h')]
 
 
@@ -228,24 +230,76 @@
     run(send_ahead, total_read_ahead_bytes=8000)
 
 
-# Guards against clients that are served slowly because others send bodies in
-# chunks of one byte, whose parts are parsed without a pause.
-def test_small_chunks_are_parsed_in_turns():
+class BusyPasses(trio.abc.Instrument):
+    """Counts passes of the event loop in which many requests begin.
+
+    Attributes:
+        starts: Requests that have begun in this pass.
+        count: Number of passes with more than `MANY_STARTS`.
+    """
+
+    def __init__(self):
+        self.starts = 0
+        self.count = 0
+
+    def before_io_wait(self, timeout):
+        self.count += self.starts > MANY_STARTS
+        self.starts = 0
+
+
+# Guards against callers, and links to other processes, that wait for the event
+# loop while it answers what many clients have sent ahead.
+def test_requests_sent_ahead_are_handled_in_turns():
+    clients, ahead = 30, 100
+
+    async def send_ahead(guard, app, connect):
+        passes = BusyPasses()
+
+        async def count(exchange):
+            passes.starts += 1
+            return Reply(HTTPStatus.OK, b'<>')
+
+        app._handle_exchange = count
+        streams = [await connect() for _ in range(clients)]
+        trio.lowlevel.add_instrument(passes)
+        async with trio.open_nursery() as nursery:
+            for stream in streams:
+                nursery.start_soon(stream.send_all, GET % b'/' * ahead)
+        for stream in streams:
+            received = 0
+            while received < ahead:
+                received += (await stream.receive_some(65536)).count(b'<>')
+        trio.lowlevel.remove_instrument(passes)
+        # The first request of each client waits for no turn.
+        assert passes.count <= 1
+
+    run(send_ahead)
+
+
+# Guards against the same by bodies in chunks of one byte.
+def test_small_chunks_are_parsed_in_turns(monkeypatch):
+    clients, chunks = 10, 3000
     head = b'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
-    body = b'1\r\nx\r\n' * 5000
+    body = b'1\r\nx\r\n' * chunks + b'0\r\n\r\n'
+    parse_chunks = Http1Connection._parse_chunks
 
     async def send_chunks(guard, app, connect):
-        stream = await connect()
+        passes = BusyPasses()
+
+        def count(connection):
+            passes.starts += 1
+            return parse_chunks(connection)
+
+        monkeypatch.setattr(Http1Connection, '_parse_chunks', count)
+        streams = [await connect() for _ in range(clients)]
+        trio.lowlevel.add_instrument(passes)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(stream.send_all, head + body + b'0\r\n\r\n')
-            passes = 0
-            while not guard.parsing.locked():
-                await trio.lowlevel.checkpoint()
-            while guard.parsing.locked():
-                await trio.lowlevel.checkpoint()
-                passes += 1
-            assert (await stream.receive_some(1000)).endswith(b'5000')
-        assert passes >= 1
+            for stream in streams:
+                nursery.start_soon(stream.send_all, head + body)
+        for stream in streams:
+            assert (await stream.receive_some(1000)).endswith(b'3000')
+        trio.lowlevel.remove_instrument(passes)
+        assert passes.count <= 1
 
     run(send_chunks)
 
