Name the place of a connection apart from an upstream's slots

What a reader met: `slot` is the unit of concurrency of an upstream, and was also the place of a connection; two of its methods were named like actions.

--- a/packages/node/cactushead_node/http/connection.py
+++ b/packages/node/cactushead_node/http/connection.py
@@ -6,7 +6,7 @@
 
 from ..holdings import Holding
 from .asgi import AsgiApp
-from .guard import ConnectionGuard, ConnectionSlot
+from .guard import ConnectionGuard, ConnectionPlace
 from .stream import WriteTimeoutStream
 
 # Load balancers reuse idle connections. The time-out is long, so that the
@@ -26,7 +26,7 @@
         app: AsgiApp,
         stream: WriteTimeoutStream,
         guard: ConnectionGuard,
-        slot: ConnectionSlot,
+        place: ConnectionPlace,
         scope: trio.CancelScope,
     ) -> None:
         """Wraps an accepted connection.
@@ -35,13 +35,13 @@
             app: The application.
             stream: The connection.
             guard: Limits of all connections.
-            slot: Place of this connection among all.
+            place: Place of this connection among all.
             scope: Ends the connection when it is cancelled.
         """
         self._app = app
         self._stream = stream
         self._guard = guard
-        self._slot = slot
+        self._place = place
         self._ahead_holding = Holding(guard.read_ahead, scope.cancel)
         self._reply_holding = Holding(guard.replies, scope.cancel)
         self._closing = False
--- a/packages/node/cactushead_node/http/guard.py
+++ b/packages/node/cactushead_node/http/guard.py
@@ -112,11 +112,11 @@
 
     def admit(
         self, listener: OldestFirstPool, on_evict: Callable[[], None]
-    ) -> 'ConnectionSlot':
-        """Returns the slot of a new connection.
+    ) -> 'ConnectionPlace':
+        """Returns the place of a new connection.
 
         Explanation:
-            If all slots are in use, the connection that has waited for its
+            If all places are in use, the connection that has waited for its
             client for the longest time is closed.
 
         Args:
@@ -126,16 +126,16 @@
         Raises:
             PoolExhaustedError: No connection waits for its client.
         """
-        slot = ConnectionSlot(
+        place = ConnectionPlace(
             Holding(self._all_connections, on_evict),
             Holding(listener, on_evict),
         )
         try:
-            slot.open()
+            place.open()
         except PoolExhaustedError:
-            slot.release()
+            place.release()
             raise
-        return slot
+        return place
 
     async def wait_for_turn(self) -> None:
         """Waits for a pass of the event loop of its own.
@@ -169,11 +169,11 @@
         _log.warning('connections: limits were met, in total: %s', met)
 
 
-class ConnectionSlot:
+class ConnectionPlace:
     """Place of one connection among all, and among those of its address."""
 
     def __init__(self, *holdings: Holding) -> None:
-        """Creates a slot that isn't open yet.
+        """Creates a place that isn't open yet.
 
         Args:
             holdings: What the connection holds of each pool.
@@ -189,14 +189,14 @@
         for holding in self._holdings:
             holding.grow(1)
 
-    def wait(self) -> None:
-        """Says that the connection waits for its client from now on."""
+    def mark_waiting(self) -> None:
+        """Records that the connection waits for its client from now on."""
         for holding in self._holdings:
             holding.evictable = True
             holding.renew()
 
-    def handle(self) -> None:
-        """Says that a request is handled, so the connection may not end."""
+    def mark_handling(self) -> None:
+        """Records that a request is handled, so the connection may not end."""
         for holding in self._holdings:
             holding.evictable = False
 
--- a/packages/node/cactushead_node/http/http1.py
+++ b/packages/node/cactushead_node/http/http1.py
@@ -22,7 +22,7 @@
     READ_BYTES,
     HttpConnection,
 )
-from .guard import ConnectionGuard, ConnectionSlot
+from .guard import ConnectionGuard, ConnectionPlace
 from .stream import WriteTimeoutStream
 
 HEAD_TIMEOUT_S = 30.0
@@ -49,11 +49,11 @@
         app: AsgiApp,
         stream: WriteTimeoutStream,
         guard: ConnectionGuard,
-        slot: ConnectionSlot,
+        place: ConnectionPlace,
         scope: trio.CancelScope,
     ) -> None:
         """Wraps an accepted connection; see `HttpConnection`."""
-        super().__init__(app, stream, guard, slot, scope)
+        super().__init__(app, stream, guard, place, scope)
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -94,7 +94,7 @@
 
     async def _receive_head(self) -> bool:
         """Receives the head of a request; returns whether there is one."""
-        self._slot.wait()
+        self._place.mark_waiting()
         if self._ahead_holding.size and self._request is not None:
             await self._guard.wait_for_turn()
         self._request = None
@@ -220,7 +220,7 @@
         event = self._http.next_event()
         if isinstance(event, h11.EndOfMessage):
             self._body_complete = True
-            self._slot.handle()
+            self._place.mark_handling()
             self._ahead_holding.resize(len(self._http.trailing_data[0]))
         return event
 
@@ -255,7 +255,7 @@
         if self._request is None or self._request.method != NO_BODY_METHOD:
             content = self._http.send(h11.Data(data=body)) or b''
         self._http.send(h11.EndOfMessage())
-        self._slot.wait()
+        self._place.mark_waiting()
         self._reply_holding.grow(
             min(len(body), self._guard.limits.max_reply_bytes)
         )
--- a/packages/node/cactushead_node/http/http2.py
+++ b/packages/node/cactushead_node/http/http2.py
@@ -27,7 +27,7 @@
     READ_BYTES,
     HttpConnection,
 )
-from .guard import ConnectionGuard, ConnectionSlot
+from .guard import ConnectionGuard, ConnectionPlace
 from .http1 import DISCONNECTED, http_date, request_message
 from .stream import SEND_TIMEOUT_S, WriteTimeoutStream
 
@@ -107,11 +107,11 @@
         app: AsgiApp,
         stream: WriteTimeoutStream,
         guard: ConnectionGuard,
-        slot: ConnectionSlot,
+        place: ConnectionPlace,
         scope: trio.CancelScope,
     ) -> None:
         """Wraps an accepted connection; see `HttpConnection`."""
-        super().__init__(app, stream, guard, slot, scope)
+        super().__init__(app, stream, guard, place, scope)
         self._protocol = _Protocol(
             H2Configuration(client_side=False, header_encoding=None)
         )
@@ -289,7 +289,7 @@
                 reason = ErrorCodes.REFUSED_STREAM
             self._reset(stream, reason)
         self._streams.pop(stream.stream_id)
-        self._update_slot()
+        self._update_place()
         self._want_write()
         if self._closing and not self._streams:
             self._read_scope.cancel()
@@ -307,7 +307,7 @@
             if stream.complete and not stream.delivered:
                 stream.delivered = True
                 stream.holding.evictable = False
-                self._update_slot()
+                self._update_place()
                 return request_message(b'', more_body=False)
             await stream.changed.wait()
         if stream.gone:
@@ -352,7 +352,7 @@
             body = b''
         stream.holding.evictable = True
         stream.holding.renew()
-        self._update_slot()
+        self._update_place()
         stream.reply.grow(min(len(body), self._guard.limits.max_reply_bytes))
         try:
             await self._send_reply(stream, body)
@@ -427,12 +427,12 @@
         self._window_changed.set()
         self._window_changed = trio.Event()
 
-    def _update_slot(self) -> None:
+    def _update_place(self) -> None:
         """Says whether the connection waits for its client."""
         if any(stream.is_handled for stream in self._streams.values()):
-            self._slot.handle()
+            self._place.mark_handling()
         else:
-            self._slot.wait()
+            self._place.mark_waiting()
 
 
 def _make_scope(headers: list[tuple[bytes, bytes]]) -> Scope:
--- a/packages/node/cactushead_node/http/server.py
+++ b/packages/node/cactushead_node/http/server.py
@@ -16,7 +16,7 @@
 from ..holdings import PoolExhaustedError
 from .asgi import AsgiApp
 from .connection import KEEP_ALIVE_S, READ_BYTES, HttpConnection
-from .guard import ConnectionGuard, ConnectionSlot
+from .guard import ConnectionGuard, ConnectionPlace
 from .http1 import Http1Connection
 from .stream import WriteTimeoutStream
 
@@ -81,14 +81,12 @@
 
     Attributes:
         scope: Ends the connection when it is cancelled.
-        slot: Its place among all connections.
         http: Serves it; None until its first bytes have arrived.
     """
 
     def __init__(self) -> None:
-        """Creates a connection that has no slot yet."""
+        """Creates a connection that has received nothing yet."""
         self.scope = trio.CancelScope()
-        self.slot: ConnectionSlot | None = None
         self.http: HttpConnection | None = None
 
     def close_when_idle(self) -> None:
@@ -132,44 +130,42 @@
     async def _admit(
         self, stream: trio.SocketStream, nursery: trio.Nursery
     ) -> None:
-        """Serves a connection if there is a slot for it, else closes it."""
+        """Serves a connection if there is a place for it, else closes it."""
         connection = _Connection()
         try:
-            connection.slot = self._guard.admit(
-                self._pool, connection.scope.cancel
-            )
+            place = self._guard.admit(self._pool, connection.scope.cancel)
         except PoolExhaustedError:
             self._guard.log_limits()
             await trio.aclose_forcefully(stream)
             return
         self._connections.add(connection)
-        nursery.start_soon(self._serve, connection, connection.slot, stream)
+        nursery.start_soon(self._serve, connection, place, stream)
 
     async def _serve(
         self,
         connection: _Connection,
-        slot: ConnectionSlot,
+        place: ConnectionPlace,
         stream: trio.SocketStream,
     ) -> None:
         """Serves one connection; an exception ends only this connection."""
         try:
             with connection.scope:
-                await self._run(connection, slot, WriteTimeoutStream(stream))
+                await self._run(connection, place, WriteTimeoutStream(stream))
         except Exception as error:
             LOGGER.warning('connection closed after an error: %r', error)
         finally:
-            self._remove(connection, slot)
+            self._remove(connection, place)
             await trio.aclose_forcefully(stream)
 
-    def _remove(self, connection: _Connection, slot: ConnectionSlot) -> None:
+    def _remove(self, connection: _Connection, place: ConnectionPlace) -> None:
         self._connections.discard(connection)
-        slot.release()
+        place.release()
         self._guard.log_limits()
 
     async def _run(
         self,
         connection: _Connection,
-        slot: ConnectionSlot,
+        place: ConnectionPlace,
         stream: WriteTimeoutStream,
     ) -> None:
         received = await _receive_start(stream)
@@ -182,7 +178,7 @@
             # Most processes never need the module and its library.
             make_http = import_module('.http2', __package__).Http2Connection
         connection.http = make_http(
-            self._app, stream, self._guard, slot, connection.scope
+            self._app, stream, self._guard, place, connection.scope
         )
         await connection.http.run(received)
 
