Test the shutdown of HTTP/2 connections

Guards against an idle connection that stays open during the shutdown, and against a request in progress that gets no reply. Both held when the test was written.

--- a/packages/node/cactushead_node/http/tests/test_http1.py
+++ b/packages/node/cactushead_node/http/tests/test_http1.py
@@ -12,6 +12,9 @@
     Reply,
     serve_http,
 )
+from h2.events import StreamEnded
+
+from .test_limits import Http2Client
 
 HOST = '127.0.0.1'
 POST = b'POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}'
@@ -226,6 +229,24 @@
     run(send)
 
 
+# Guards against the same over HTTP/2, and an idle connection that stays open.
+def test_streams_are_answered_during_the_shutdown():
+    async def send(connect, app, stop):
+        app.released = trio.Event()
+        busy, idle = Http2Client(await connect()), Http2Client(await connect())
+        busy.request('/echo', 1)
+        for client in (busy, idle):
+            await client.flush()
+        await trio.sleep(0.05)
+        stop.set()
+        assert not await idle.read_until(StreamEnded, 1)
+        app.released.set()
+        assert await busy.read_until(StreamEnded, 1)
+        assert len(await busy.read_until(StreamEnded, 2)) == 1
+
+    run(send)
+
+
 # Guards against HTTP/2 where it isn't spoken.
 def test_http2_can_be_switched_off():
     async def main():
