--- a/packages/node/cactushead_node/settings/model.py
+++ b/packages/node/cactushead_node/settings/model.py
@@ -88,9 +88,10 @@
         max_body_bytes: Size of one request body.
         total_body_bytes: Size of all request bodies whose requests are being
             received or handled.
-        max_reply_bytes: Replies that one connection has not accepted yet; a
-            single reply may be larger.
-        total_reply_bytes: The same for all connections together.
+        max_reply_bytes: Most that one reply counts until it is accepted; a
+            connection has one at a time, over HTTP/2 one for each stream.
+        total_reply_bytes: Replies of all connections that have not been
+            accepted yet.
         max_streams: Requests in progress on one HTTP/2 connection.
         total_streams: Requests in progress on all HTTP/2 connections.
     """
