Split the streams from the HTTP/2 connection

Change: `http2_stream.py` has the request and its scope, unchanged but for their names, `Http2Stream` and `make_scope`. Four constants are explained.

--- a/packages/node/cactushead_node/accepting.py
+++ b/packages/node/cactushead_node/accepting.py
@@ -8,6 +8,7 @@
 
 # Pause of accepting connections while there is no descriptor for one.
 ACCEPT_PAUSE_S = 0.1
+# Shortest time between two log lines on a limit, which is met often if at all.
 LOG_INTERVAL_S = 10.0
 
 _NO_DESCRIPTOR = frozenset(
--- a/packages/node/cactushead_node/http/http1.py
+++ b/packages/node/cactushead_node/http/http1.py
@@ -25,6 +25,7 @@
 from .guard import ConnectionGuard, ConnectionPlace
 from .stream import WriteTimeoutStream
 
+# Longest wait for the next part of a request's head.
 HEAD_TIMEOUT_S = 30.0
 # Largest head of a request.
 MAX_HEAD_BYTES = 32_768
--- a/packages/node/cactushead_node/http/http2.py
+++ b/packages/node/cactushead_node/http/http2.py
@@ -9,7 +9,6 @@
 
 import logging
 from functools import partial
-from urllib.parse import unquote
 
 import trio
 from h2 import events
@@ -19,8 +18,8 @@
 from h2.exceptions import ProtocolError
 from h2.settings import SettingCodes
 
-from ..holdings import Holding, PoolExhaustedError
-from .asgi import AsgiApp, AsgiMessage, Scope
+from ..holdings import PoolExhaustedError
+from .asgi import AsgiApp, AsgiMessage
 from .connection import (
     KEEP_ALIVE_S,
     NO_BODY_METHOD,
@@ -29,6 +28,7 @@
 )
 from .guard import ConnectionGuard, ConnectionPlace
 from .http1 import DISCONNECTED, http_date, request_message
+from .http2_stream import Http2Stream, make_scope
 from .stream import SEND_TIMEOUT_S, WriteTimeoutStream
 
 # Streams that a client may reset beyond those that were replied to.
@@ -37,6 +37,7 @@
 MAX_CONTROL_FRAMES = 100
 # Ended streams of which the protocol library remembers how they ended.
 MAX_REMEMBERED_STREAMS = 128
+# Time in which a client may read the frames that end the connection.
 CLOSE_TIMEOUT_S = 1.0
 
 _log = logging.getLogger('cactushead.connections')
@@ -48,57 +49,6 @@
     MAX_CLOSED_STREAMS = MAX_REMEMBERED_STREAMS
 
 
-class _Stream:
-    """A request with its reply.
-
-    Attributes:
-        stream_id: Number of the stream.
-        headers: Headers of the request, by name.
-        scope: Ends the application's task when it is cancelled.
-        body: What was received of the body and not taken yet.
-        unacknowledged_bytes: Bytes of the window that the body takes.
-        complete: Whether the whole request was received.
-        delivered: Whether the application has taken the whole request.
-        gone: Whether the client has reset the stream.
-        replied: Whether the reply is complete.
-        head: Headers of the reply.
-        changed: Is set when one of these has changed.
-        holding: Place of the stream among all.
-        reply: What the reply holds until it is taken.
-    """
-
-    def __init__(
-        self,
-        stream_id: int,
-        headers: list[tuple[bytes, bytes]],
-        guard: ConnectionGuard,
-    ) -> None:
-        """Creates a stream whose request's head was received."""
-        self.stream_id = stream_id
-        self.headers = headers
-        self.scope = trio.CancelScope()
-        self.body = bytearray()
-        self.unacknowledged_bytes = 0
-        self.complete = False
-        self.delivered = False
-        self.gone = False
-        self.replied = False
-        self.head: list[tuple[bytes, bytes]] = []
-        self.changed = trio.Event()
-        self.holding = Holding(guard.streams, self.scope.cancel)
-        self.reply = Holding(guard.replies, self.scope.cancel)
-
-    @property
-    def is_handled(self) -> bool:
-        """Whether the application has the request and hasn't replied."""
-        return self.delivered and not self.head
-
-    def notify(self) -> None:
-        """Wakes the task that waits for a change."""
-        self.changed.set()
-        self.changed = trio.Event()
-
-
 class Http2Connection(HttpConnection):
     """Serves the requests of all streams at the same time."""
 
@@ -115,7 +65,7 @@
         self._protocol = _Protocol(
             H2Configuration(client_side=False, header_encoding=None)
         )
-        self._streams: dict[int, _Stream] = {}
+        self._streams: dict[int, Http2Stream] = {}
         self._unparsed_bytes = 0
         self._unanswered_resets = 0
         self._control_frames = 0
@@ -220,7 +170,7 @@
         self, event: events.RequestReceived, nursery: trio.Nursery
     ) -> None:
         """Starts the application for a request, or refuses it."""
-        stream = _Stream(event.stream_id, event.headers, self._guard)
+        stream = Http2Stream(event.stream_id, event.headers, self._guard)
         if self._closing or (
             len(self._streams) >= self._guard.limits.max_streams
         ):
@@ -235,7 +185,7 @@
         self._streams[stream.stream_id] = stream
         nursery.start_soon(self._run_stream, stream)
 
-    def _refuse(self, stream: _Stream) -> None:
+    def _refuse(self, stream: Http2Stream) -> None:
         """Resets a stream in the way that says that it was not handled."""
         self._control_frames += 1
         self._reset(stream, ErrorCodes.REFUSED_STREAM)
@@ -267,18 +217,18 @@
             stream.gone = True
             stream.scope.cancel()
 
-    async def _run_stream(self, stream: _Stream) -> None:
+    async def _run_stream(self, stream: Http2Stream) -> None:
         try:
             with stream.scope:
                 await self._app(
-                    _make_scope(stream.headers),
+                    make_scope(stream.headers),
                     partial(self._receive_message, stream),
                     partial(self._send_message, stream),
                 )
         finally:
             self._end_stream(stream)
 
-    def _end_stream(self, stream: _Stream) -> None:
+    def _end_stream(self, stream: Http2Stream) -> None:
         """Forgets a stream; resets it if it has no whole reply."""
         self._acknowledge(stream)
         stream.holding.release()
@@ -294,14 +244,14 @@
         if self._closing and not self._streams:
             self._read_scope.cancel()
 
-    def _reset(self, stream: _Stream, reason: ErrorCodes) -> None:
+    def _reset(self, stream: Http2Stream, reason: ErrorCodes) -> None:
         try:
             self._protocol.reset_stream(stream.stream_id, reason)
         except ProtocolError:
             # The stream or the connection has ended already.
             return
 
-    async def _receive_message(self, stream: _Stream) -> AsgiMessage:
+    async def _receive_message(self, stream: Http2Stream) -> AsgiMessage:
         """Returns the next part of the request, or that the client left."""
         while not stream.body and not stream.gone:
             if stream.complete and not stream.delivered:
@@ -318,7 +268,7 @@
         self._want_write()
         return request_message(body, more_body=True)
 
-    def _acknowledge(self, stream: _Stream) -> None:
+    def _acknowledge(self, stream: Http2Stream) -> None:
         """Opens the window by what was taken of a body."""
         size_bytes = stream.unacknowledged_bytes
         stream.unacknowledged_bytes = 0
@@ -336,7 +286,7 @@
             return
 
     async def _send_message(
-        self, stream: _Stream, message: AsgiMessage
+        self, stream: Http2Stream, message: AsgiMessage
     ) -> None:
         """Takes the head of a reply, or sends it with its whole body."""
         if message['type'] == 'http.response.start':
@@ -360,7 +310,7 @@
             # The client has reset the stream, or the connection has ended.
             stream.gone = True
 
-    async def _send_reply(self, stream: _Stream, body: bytes) -> None:
+    async def _send_reply(self, stream: Http2Stream, body: bytes) -> None:
         """Sends a reply as far as the windows of the client allow it."""
         self._protocol.send_headers(
             stream.stream_id, stream.head, end_stream=not body
@@ -378,7 +328,7 @@
         await self._writer_idle.wait()
 
     async def _send_frame(
-        self, stream: _Stream, body: memoryview, size_bytes: int
+        self, stream: Http2Stream, body: memoryview, size_bytes: int
     ) -> None:
         """Sends one frame when those before it are written."""
         await self._writer_idle.wait()
@@ -389,7 +339,7 @@
         )
         self._want_write()
 
-    async def _wait_for_window(self, stream: _Stream) -> int:
+    async def _wait_for_window(self, stream: Http2Stream) -> int:
         """Returns how much of a reply the client takes now."""
         window = partial(
             self._protocol.local_flow_control_window, stream.stream_id
@@ -398,7 +348,7 @@
             await self._wait_for_window_change(stream)
         return min(window(), self._protocol.max_outbound_frame_size)
 
-    async def _wait_for_window_change(self, stream: _Stream) -> None:
+    async def _wait_for_window_change(self, stream: Http2Stream) -> None:
         """Waits for a window to grow; ends the stream after a time-out."""
         with trio.move_on_after(SEND_TIMEOUT_S):
             await self._window_changed.wait()
@@ -428,29 +378,8 @@
         self._window_changed = trio.Event()
 
     def _update_place(self) -> None:
-        """Says whether the connection waits for its client."""
+        """Records whether the connection waits for its client."""
         if any(stream.is_handled for stream in self._streams.values()):
             self._place.mark_handling()
         else:
             self._place.mark_waiting()
-
-
-def _make_scope(headers: list[tuple[bytes, bytes]]) -> Scope:
-    """Returns the scope of a request from its headers."""
-    pseudo = {name: text for name, text in headers if name.startswith(b':')}
-    fields = [pair for pair in headers if not pair[0].startswith(b':')]
-    if b':authority' in pseudo and not any(
-        name == b'host' for name, _ in fields
-    ):
-        fields.append((b'host', pseudo[b':authority']))
-    target = pseudo.get(b':path', b'/')
-    raw_path, _, query = target.partition(b'?')
-    return {
-        'type': 'http',
-        'http_version': '2',
-        'method': pseudo.get(b':method', b'').decode('latin-1'),
-        'path': unquote(raw_path.decode('latin-1')),
-        'raw_path': raw_path,
-        'query_string': query,
-        'headers': fields,
-    }
--- a/packages/node/cactushead_node/settings/reading.py
+++ b/packages/node/cactushead_node/settings/reading.py
@@ -8,6 +8,7 @@
 from .model import ConnectionLimits
 
 MAX_PORT = 65535
+# Upper bound of each limit of connections, in bytes or as a number.
 MAX_CONNECTION_LIMIT = 1e9
 
 
