--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -9,6 +9,7 @@
 import http.client
 import json
 import os
+import queue
 import random
 import signal
 import socket
@@ -32,6 +33,7 @@
 CANCEL_S = 3.0
 ACK_S = 4.0
 CONTACT_S = 3.0
+PROXIED_START_S = 3.0
 SERVICE = 'huvo11a'
 HOST_NAME = 'nony24.example'
 PREFIX = '/lohu930/'
@@ -92,6 +94,7 @@
         self.cpu = cpu
         self.sequence = 0
         self.starts = []
+        self.runs = []
         self._control_port = control_port
         self._born_ms = int(time.time() * 1000)
         self._began_s = time.monotonic() - 10.0
@@ -117,6 +120,16 @@
         with self._changed:
             return sorted(self._running)
 
+    def all_runs(self):
+        """Returns task, begin and end of each run, also of those that run."""
+        with self._changed:
+            now_s = self.record.now()
+            open_runs = [
+                (task, run['at_s'], now_s)
+                for task, run in self._running.items()
+            ]
+            return self.runs + open_runs
+
     def beat(self):
         """Sends one heartbeat; returns its status, 0 for no answer."""
         self.sequence += 1
@@ -160,6 +173,7 @@
         run = self._running.pop(task)
         self._ends += 1
         number = run['run']
+        self.runs.append((task, run['at_s'], self.record.now()))
         self._highest_run[task] = max(self._highest_run.get(task, 0), number)
         self._finished.append([self._ends, task, number, how, ''])
         self.record.add(f'{self.name} end {task} run {number} {how}')
@@ -186,6 +200,7 @@
         self._running[task] = {
             'run': number,
             'began_s': now_s,
+            'at_s': self.record.now(),
             'ends_s': now_s + seconds,
             'how': 'done',
         }
@@ -264,10 +279,72 @@
         return Handler
 
 
+class DelayProxy:
+    """Forwards connections to another address, each byte some time later.
+
+    Attributes:
+        delay_s: How long what arrives now is held up, in either direction.
+    """
+
+    def __init__(self, host, target, port):
+        self.delay_s = 0.0
+        self._target = (target, port)
+        self._listener = socket.create_server((host, port), backlog=64)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self):
+        self._listener.close()
+
+    def _accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                near, _ = self._listener.accept()
+                try:
+                    far = socket.create_connection(self._target, 2.0)
+                except OSError:
+                    near.close()
+                    continue
+                far.settimeout(None)
+                for source, sink in ((near, far), (far, near)):
+                    source.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                    held = queue.Queue()
+                    for target, one in (
+                        (self._read, source),
+                        (self._write, sink),
+                    ):
+                        threading.Thread(
+                            target=target, args=(one, held), daemon=True
+                        ).start()
+
+    def _read(self, source, held):
+        content = b'more'
+        while content:
+            try:
+                content = source.recv(65_536)
+            except OSError:
+                content = b''
+            held.put((time.monotonic() + self.delay_s, content))
+
+    def _write(self, sink, held):
+        with contextlib.suppress(OSError):
+            while True:
+                due_s, content = held.get()
+                time.sleep(max(due_s - time.monotonic(), 0))
+                if not content:
+                    sink.shutdown(socket.SHUT_WR)
+                    return
+                sink.sendall(content)
+
+
 class Fleet:
-    """Entries and agents as processes, one runner beside each agent."""
+    """Entries and agents as processes, one runner beside each agent.
 
-    def __init__(self, record, entries=3, agents=2, diskless=0):
+    Attributes:
+        link_proxies: Proxies through which the agents are linked to the
+            entries, by entry; empty without them.
+    """
+
+    def __init__(self, record, entries=3, agents=2, diskless=0, proxied=False):
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix='review-'))
         net = random.randint(20, 250)
@@ -277,6 +354,12 @@
         self.ports = _free_ports(self.entries[0], 5)
         names = ('links', 'callers', 'operators', 'readiness', 'app')
         self.port = dict(zip(names, self.ports, strict=True))
+        self.link_proxies = {}
+        if proxied:
+            self.link_proxies = {
+                host: DelayProxy(_proxy_host(host), host, self.port['links'])
+                for host in self.entries
+            }
         self.processes = {}
         self.runners = [
             Runner(
@@ -288,7 +371,13 @@
             )
             for k, host in enumerate(self.agents)
         ]
-        for host in (*self.entries, *self.agents):
+        for host in self.entries:
+            self.start(host, first=True)
+        if proxied:
+            # An agent whose first dial fails would learn an entry's own
+            # address from another entry, and dial that.
+            time.sleep(PROXIED_START_S)
+        for host in self.agents:
             self.start(host, first=True)
 
     def start(self, host, *, first=False):
@@ -322,6 +411,11 @@
                 disk.mkdir(exist_ok=True)
                 settings['data_dir'] = str(disk)
         else:
+            if self.link_proxies:
+                settings['seeds'] = [
+                    f'{_proxy_host(seed)}:{self.port["operators"]}'
+                    for seed in self.entries[:3]
+                ]
             settings |= {
                 'heartbeats': control,
                 'claims': True,
@@ -483,6 +577,24 @@
             if any(task.startswith(job) for task in runner.running())
         ]
 
+    def overlaps_of(self, job):
+        """Returns the runs of one task of a job that overlapped.
+
+        Rows of the task, the two runners, and for how many seconds.
+        """
+        runs = [
+            (task, began_s, ended_s, runner.name)
+            for runner in self.runners
+            for task, began_s, ended_s in runner.all_runs()
+            if task.startswith(job)
+        ]
+        return [
+            (one[0], one[3], other[3], min(one[2], other[2]) - other[1])
+            for one in runs
+            for other in runs
+            if one[0] == other[0] and one[1] < other[1] < one[2]
+        ]
+
     def starts_of(self, job):
         """Returns time, runner and task of each start of a job, in order."""
         return sorted(
@@ -501,6 +613,8 @@
             process.wait()
         for runner in self.runners:
             runner.close()
+        for proxy in self.link_proxies.values():
+            proxy.close()
 
 
 def configuration(version, extra_routes=0):
@@ -601,6 +715,11 @@
     return EXIT_BROKEN if broken else EXIT_HELD
 
 
+def _proxy_host(host):
+    """Returns the address of the proxy before an entry."""
+    return host.replace('.1.', '.3.', 1)
+
+
 def _free_ports(host, count):
     """Returns ports that no one uses at an address."""
     sockets = [socket.socket() for _ in range(count)]
