--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -700,6 +700,8 @@
 def play(folder, case, **options):
     """Plays a case; returns the exit status of its script."""
     record = Record(Path(folder) / 'record.txt')
+    mode = 'with' if has_trouble() else 'without'
+    record.add(f'played {mode} the disruption')
     fleet = None
     try:
         fleet = Fleet(record, **options)
