Log whom an entry takes for voters, and why it waits to join

An entry that lost its disk after a restart of all entries served callers and never voted again, and no log said so: the lines of an entry without any list of voters and of one whose request wasn't granted were the same.

Each entry now logs the voters of its membership and where it has them from when they change. An entry with a disk that is no voter logs its cause every 5 s at most.

--- a/packages/core/cactushead_core/fleet/entry.py
+++ b/packages/core/cactushead_core/fleet/entry.py
@@ -39,6 +39,7 @@
 )
 from .cancellations import Cancellations
 from .evacuated_agents import EvacuatedAgents
+from .membership_report import MembershipReport
 from .messages import CancelJob, CancelJobReply
 from .settings import FleetSettings
 from .state_machine import StateMachine
@@ -103,6 +104,9 @@
             settings.dispatch.outcome_retention_s,
         )
         self._voter_selection = VoterSelection(settings, self.discovery)
+        self._membership_report = MembershipReport(
+            self.voter, self.discovery, lambda: self.leader
+        )
         self._own_peer = Peer(name, PeerRole.ENTRY, incarnation)
         self._leader = ''
         self._leader_term = 0
@@ -271,6 +275,7 @@
         self.configuration.tick(now_s, effects)
         self.evacuations.tick(now_s, effects)
         self._cancellations.tick(now_s, effects)
+        self._membership_report.tick(now_s, effects)
         self.dispatcher.tick(now_s, effects)
 
     def _active_peers(self) -> set[str]:
--- a/packages/core/cactushead_core/fleet/voter.py
+++ b/packages/core/cactushead_core/fleet/voter.py
@@ -73,6 +73,15 @@
         """Name of the leader that the replica follows, empty if none."""
         return '' if self.replica is None else self.replica.leader
 
+    def describe_voters(self) -> str:
+        """Returns the known voters and how this entry came to know them."""
+        if not self._settings.own.disk_incarnation:
+            return 'none, since this entry has no disk'
+        if self.replica is None or not self.replica.voters:
+            return 'none'
+        names = ', '.join(self.replica.voters)
+        return f'{names}; {self.replica.membership_source}'
+
     def set_voters(self, voters: tuple[str, ...], now_s: float) -> None:
         """Opens the replica with the given voters, unless it is open."""
         if self.replica is None and self._settings.own.disk_incarnation:
--- a/packages/core/cactushead_core/replication/replica.py
+++ b/packages/core/cactushead_core/replication/replica.py
@@ -170,6 +170,21 @@
         """Names of the voters of the known membership."""
         return tuple(member.name for member in self._state.membership.voters())
 
+    @property
+    def membership_index(self) -> int:
+        """Index of the log entry of the known membership, 0 without one."""
+        return self._state.membership.index
+
+    @property
+    def membership_source(self) -> str:
+        """How this replica came to know the membership, as text."""
+        index = self.membership_index
+        if not index:
+            return 'reported by a member'
+        if index <= self._state.snapshot.index:
+            return f'from the snapshot at {self._state.snapshot.index}'
+        return f'from entry {index} of its log'
+
     def compact(self, index: int, state: bytes) -> ReplicaOutput:
         """Saves a snapshot that replaces the log up to an index.
 
