Relay cancels through any entry with a disk

What callers saw: after a restart of all entries a job could be cancelled only at the entry that had it. Every other entry answered 503, "not all entries have answered", and the job ran on. The same once all first voters had been replaced one after the other.

Cause: an entry without the job asked all others itself, or asked one to do so, by the names of the voters. Each process kept those names in memory, from the first start of the fleet; a restarted one had none, and replaced voters stayed in the list.

Change: a relay needs links to all entries, and each entry with a disk keeps them, whether it votes or not. An entry asks all others itself if it has a disk, and else one connected entry that has one, which its own address says. No list can be missing or old.

Test: test_job_is_cancelled_elsewhere_after_voters_changed failed for all six combinations before (503 in place of 200) and passes now.

--- a/packages/core/cactushead_core/discovery/discovery.py
+++ b/packages/core/cactushead_core/discovery/discovery.py
@@ -94,6 +94,14 @@
             name for name, peer in self.connected.items() if peer.role is role
         ]
 
+    def connected_disks(self) -> list[str]:
+        """Returns the names of the connected entries that have a disk."""
+        return [
+            member.name
+            for member in self._members.entries()
+            if member.disk_incarnation and member.name in self.connected
+        ]
+
     def peer_connected(
         self, peer: Peer, now_s: float, effects: list[Effect]
     ) -> None:
--- a/packages/core/cactushead_core/fleet/cancellations.py
+++ b/packages/core/cactushead_core/fleet/cancellations.py
@@ -96,15 +96,15 @@
 
     Explanation:
         Callers choose no entry, and no entry knows which one has a job that
-        needn't be kept. A voter has links to all entries and asks them; any
-        other entry asks a voter to do so. An entry whose link is lost counts as
+        needn't be kept. An entry with a disk has links to all entries and asks
+        them; one without asks such an entry to do so, whether that one votes
+        now or not. An entry whose link is lost counts as
         one without the job, since the runs of its jobs end. In case it was only
         silent, it is asked again when it is connected again.
     """
 
     def __init__(
         self,
-        name: str,
         discovery: Discovery,
         dispatcher: Dispatcher,
         retention_s: float,
@@ -112,15 +112,14 @@
         """Starts without searches.
 
         Args:
-            name: Name of the entry.
             discovery: Its links.
             dispatcher: Its dispatcher.
-            retention_s: How long a voter asks entries that connect.
+            retention_s: How long an entry with a disk asks entries that
+                connect.
         """
         self._retention_s = retention_s
-        # Times of the searches of a voter, by job.
+        # Times of the searches of an entry with a disk, by job.
         self._searched_s: dict[str, float] = {}
-        self._name = name
         self._discovery = discovery
         self._dispatcher = dispatcher
         self._numbers = itertools.count(1)
@@ -242,10 +241,11 @@
         now_s: float,
         effects: list[Effect],
     ) -> None:
-        relayed = self._name not in self._discovery.voters
+        relayed = not self._discovery.own.disk_incarnation
         timeout_s = REPLY_TIMEOUT_S
         if relayed:
-            others = _choose_relay(job, others & set(self._discovery.voters))
+            with_disk = set(self._discovery.connected_disks())
+            others = _choose_relay(job, others & with_disk)
             timeout_s = RELAY_TIMEOUT_S
         else:
             self._searched_s[job] = now_s
@@ -267,9 +267,9 @@
         effects.append(asker.answer(found=found))
 
 
-def _choose_relay(job: str, voters: set[str]) -> set[str]:
-    """Returns at most one voter; each one relays a part of the jobs."""
+def _choose_relay(job: str, entries: set[str]) -> set[str]:
+    """Returns at most one entry; each one relays a part of the jobs."""
     ordered = sorted(
-        voters, key=lambda voter: zlib.crc32(f'{voter} {job}'.encode())
+        entries, key=lambda entry: zlib.crc32(f'{entry} {job}'.encode())
     )
     return set(ordered[:1])
--- a/packages/core/cactushead_core/fleet/entry.py
+++ b/packages/core/cactushead_core/fleet/entry.py
@@ -98,7 +98,6 @@
             lambda: self.voter.is_leader,
         )
         self._cancellations = Cancellations(
-            name,
             self.discovery,
             self.dispatcher,
             settings.dispatch.outcome_retention_s,
--- a/packages/core/cactushead_core/fleet/tests/test_cancellations.py
+++ b/packages/core/cactushead_core/fleet/tests/test_cancellations.py
@@ -182,3 +182,34 @@
         NOT_FOUND,
         NOT_FOUND,
     ]
+
+
+# Guards against an entry that can't cancel a job elsewhere, since it doesn't
+# know who votes: no entry did after a restart of all of them, and entries kept
+# the names of the first voters when those had been replaced.
+@pytest.mark.parametrize('asked', ['e0', 'e1', 'e8'])
+@pytest.mark.parametrize('change', ['restart', 'replacement'])
+def test_job_is_cancelled_elsewhere_after_voters_changed(change, asked):
+    world = start_world(voters=6, diskless=4)
+    if change == 'restart':
+        names = [name for name in world.processes if name[0] == 'e']
+        for name in names:
+            world.kill(name, silent=True)
+        world.run(0.5)
+        for name in names:
+            world.start(name)
+        world.run(5)
+    else:
+        asked = {'e0': 'e3', 'e1': 'e4'}.get(asked, asked)
+        for name in ('e0', 'e1', 'e2'):
+            world.kill(name, silent=True)
+            world.run(5)
+    job = world.submit('e7', count=6, job=JOB)
+    world.run(0.5)
+    assert running(world) == 6
+    request = cancel(world, asked)
+    world.run(0.2)
+    assert world.responses[request] == FOUND
+    assert job_ends(world, [job]) == [JobEnd.CANCELLED]
+    world.run(0.2)
+    assert running(world) == 0
