Pass on crashing jobs from any entry with a disk

What callers saw (by the code and the simulated fleet; not seen on real processes): after a restart of all entries, or once the first voters had been replaced, the news of a job that crashes upstreams reached only the entries linked to the one that found it. Sent again elsewhere, the job could crash more upstreams.

Only an entry whose name was in the list of the first voters passed the news on, for its links to all entries; that list was empty after a restart and never changed.

Change: an entry with a disk passes it on, since it has these links. The news is passed on once by each entry, so the messages grow with the entries with a disk in place of the voters.

Test: test_crashing_job_is_known_at_all_entries failed before for [restart] and [replacement], passed for [none], and passes now for all three.

--- a/packages/core/cactushead_core/fleet/entry.py
+++ b/packages/core/cactushead_core/fleet/entry.py
@@ -238,11 +238,11 @@
         now_s: float,
         effects: list[Effect],
     ) -> None:
-        """Records a crashing job; a voter, which has all links, relays it."""
+        """Records a crashing job; passes it on if this entry has all links."""
         new = self.dispatcher.crashing_jobs.found_elsewhere(
             message, now_s, effects
         )
-        if new and self.settings.own.name in self.discovery.voters:
+        if new and self.settings.own.disk_incarnation:
             effects.extend(
                 Send(name, message)
                 for name in self.discovery.peers(PeerRole.ENTRY)
