Ask the leader to join, without a list of voters

What callers saw: all entries lost power and came back with their disks. Later two of three lost their disks, 8 s apart.

Cause: an entry with an empty disk asked to join by a list of names that others send when a link comes up. The list was set by the selection of the first start and kept in memory only, so after a restart of all entries nobody sent it. An entry without it did not open its replica of the log, and so asked nobody.

Change: the membership in the replicated log is the only list of voters that an entry keeps. An entry with a disk opens its replica when it starts. While it is no voter it asks the leader, which pings name, and without one all connected entries with a disk; a voter without a leader asks the members of its membership of now, no longer those read at its start. Only the leader can admit, so no other name is needed. The selection of the first start is kept until a leader is known. The first message on a link still names the voters of the membership, for entries of earlier software.

test_fleet_forms_and_elects_one_leader read the list that is gone. It now checks the memberships of all three voters, and that the entry without a disk has no list and knows the leader.

Tests: test_lost_disks_are_replaced_after_restart_of_all_entries and test_new_machine_replaces_voter_after_restart_of_all_entries failed before: the lost voters were not replaced.

--- a/packages/core/cactushead_core/discovery/discovery.py
+++ b/packages/core/cactushead_core/discovery/discovery.py
@@ -54,7 +54,6 @@
         """
         self.own = own
         self.connected: dict[str, Peer] = {}
-        self.voters: tuple[str, ...] = ()
         self._seeds = {
             seed: DialBackoff() for seed in seeds if seed != own.endpoint
         }
@@ -103,7 +102,11 @@
         ]
 
     def peer_connected(
-        self, peer: Peer, now_s: float, effects: list[Effect]
+        self,
+        peer: Peer,
+        now_s: float,
+        effects: list[Effect],
+        voters: tuple[str, ...] = (),
     ) -> None:
         """Sends a new peer this process's address and the known entries.
 
@@ -111,11 +114,12 @@
             peer: The process at the other end.
             now_s: The process's clock.
             effects: List to which effects are appended.
+            voters: The voters that the peer is told.
         """
         self._changed = True
         self.connected[peer.name] = peer
         self._keepalive.connected(peer.name, now_s)
-        effects.append(Send(peer.name, Introduction(self.own, self.voters)))
+        effects.append(Send(peer.name, Introduction(self.own, voters)))
         entries = tuple(
             member
             for member in self._members.entries()
--- a/packages/core/cactushead_core/discovery/messages.py
+++ b/packages/core/cactushead_core/discovery/messages.py
@@ -13,8 +13,9 @@
 
     Attributes:
         member: Address of the sender.
-        voters: Names of the voters known to the sender; empty before their
-            selection.
+        voters: Names of the voters known to the sender, empty if it knows
+            none. Only entries of a fleet that starts for the first time, and
+            those of earlier software, act on it.
     """
 
     member: MemberAddress
--- a/packages/core/cactushead_core/fleet/entry.py
+++ b/packages/core/cactushead_core/fleet/entry.py
@@ -217,7 +217,7 @@
             case Ping():
                 self._on_ping(sender, message, now_s, effects)
             case Introduction():
-                self._on_introduction(sender, message, now_s, effects)
+                self._on_introduction(message, effects)
             case MemberAddresses():
                 self.discovery.addresses_received(message)
             case LinkReleased():
@@ -251,9 +251,11 @@
 
     def _on_tick(self, event: Tick, effects: list[Effect]) -> None:
         now_s = event.now_s
-        if not self.discovery.voters:
-            selected = self._voter_selection.select(now_s, effects)
-            self._set_voters(selected, now_s, effects)
+        selected = self._voter_selection.select(now_s, effects)
+        if selected:
+            self._announce_selection(selected, effects)
+        if self.voter.needs_contacts:
+            self.voter.set_contacts(self._find_contacts())
         leads = self.voter.holds_leader_lease(now_s)
         if leads:
             self.configuration.confirm_newest(self.configuration.version, now_s)
@@ -294,7 +296,7 @@
         if ping.leads and ping.term >= self._leader_term:
             self._leader = sender.name
             self._leader_term = ping.term
-            self.voter.set_leader(sender.name)
+            self._voter_selection.end()
             self.configuration.confirm_newest(ping.configuration_version, now_s)
         if sender.role is not PeerRole.ENTRY:
             return
@@ -305,26 +307,22 @@
             effects.append(Send(sender.name, update))
 
     def _on_introduction(
-        self,
-        sender: Peer,
-        message: Introduction,
-        now_s: float,
-        effects: list[Effect],
+        self, message: Introduction, effects: list[Effect]
     ) -> None:
         self.discovery.introduction_received(message)
         self._evacuated_agents.introduced(message.member, effects)
-        self._set_voters(message.voters, now_s, effects)
+        if self._voter_selection.receive(message.voters):
+            self._announce_selection(message.voters, effects)
 
-    def _set_voters(
-        self,
-        voters: tuple[str, ...],
-        now_s: float,
-        effects: list[Effect],
+    def _find_contacts(self) -> tuple[str, ...]:
+        """Returns the entries that may know the membership."""
+        leader = self.leader
+        return (leader,) if leader else tuple(self.discovery.connected_disks())
+
+    def _announce_selection(
+        self, voters: tuple[str, ...], effects: list[Effect]
     ) -> None:
-        if not voters or self.discovery.voters:
-            return
-        self.discovery.voters = voters
-        self.voter.set_voters(voters, now_s)
+        self.voter.select_voters(voters)
         introduction = Introduction(self.settings.own, voters)
         effects.extend(
             Send(name, introduction)
@@ -337,7 +335,8 @@
         effects: list[Effect],
     ) -> None:
         peer = event.peer
-        self.discovery.peer_connected(peer, event.now_s, effects)
+        voters = self.voter.voters or self._voter_selection.selected
+        self.discovery.peer_connected(peer, event.now_s, effects, voters)
         if peer.role is PeerRole.AGENT:
             self.dispatcher.agents.connected(peer)
         else:
--- a/packages/core/cactushead_core/fleet/membership_report.py
+++ b/packages/core/cactushead_core/fleet/membership_report.py
@@ -53,7 +53,7 @@
                     logged=True,
                 )
             )
-        cause = self._find_wait_cause() if own.disk_incarnation else ''
+        cause = self._find_wait_cause()
         if cause and now_s - self._wait_reported_s >= WAIT_REPORT_INTERVAL_S:
             self._wait_reported_s = now_s
             effects.append(
@@ -75,16 +75,11 @@
     def _find_wait_cause(self) -> str:
         """Returns why this entry is no voter, empty if it is one."""
         replica = self._voter.replica
-        if replica is not None and replica.votes:
+        if replica is None or replica.votes:
             return ''
         entries = len(self._discovery.peers(PeerRole.ENTRY))
         leader = self._find_leader()
         links = f'linked to {entries} entries'
-        if replica is None:
-            return (
-                'asks no entry, since none has named the voters;'
-                f' leader {leader or "unknown"}, {links}'
-            )
         if not leader:
             return f'no leader is known that could admit it; {links}'
         return f'leader {leader} has not admitted it yet; {links}'
--- a/packages/core/cactushead_core/fleet/tests/simulation.py
+++ b/packages/core/cactushead_core/fleet/tests/simulation.py
@@ -186,6 +186,7 @@
         self._jobs = itertools.count(1)
         names = [f'e{number}' for number in range(voters + diskless)]
         self.seeds = tuple(Endpoint(name, PORT) for name in names[:3])
+        self._seeds_of: dict[str, tuple[Endpoint, ...]] = {}
         for number, name in enumerate(names):
             disk = Disk(f'{name}-disk-1' if number < voters else '')
             self._add(name, PeerRole.ENTRY, disk)
@@ -217,10 +218,23 @@
             self._heartbeat(name)
 
     def add_entry(self, name: str) -> None:
-        """Starts a new entry with an empty disk."""
+        """Starts a new entry with an empty disk.
+
+        Explanation:
+            The platform gives it the addresses of processes that are up now.
+        """
+        up = [other for other in self.processes if self.is_up(other)]
+        entries = [other for other in up if self._is_entry(other)]
+        self._seeds_of[name] = tuple(
+            Endpoint(other, PORT) for other in entries[:3]
+        )
         self._add(name, PeerRole.ENTRY, Disk(f'{name}-disk-1'))
         self.start(name)
 
+    def is_up(self, name: str) -> bool:
+        """Whether a process runs."""
+        return self.processes[name].node is not None
+
     def kill(self, name: str, *, silent: bool = False) -> None:
         """Ends a process.
 
@@ -416,6 +430,9 @@
 
     # Simulated input and output of the reducers.
 
+    def _is_entry(self, name: str) -> bool:
+        return self.processes[name].member.role is PeerRole.ENTRY
+
     def _add(self, name: str, role: PeerRole, disk: Disk) -> Process:
         member = MemberAddress(name, role, name, PORT, f'dc-{name}')
         self.processes[name] = Process(member, disk)
@@ -435,7 +452,7 @@
         return FleetEntry(
             FleetSettings(
                 member,
-                self.seeds,
+                self._seeds_of.get(member.name, self.seeds),
                 first_start=first,
                 data_centres=self._data_centres,
                 dispatch=self._dispatch,
--- a/packages/core/cactushead_core/fleet/tests/test_path.py
+++ b/packages/core/cactushead_core/fleet/tests/test_path.py
@@ -26,9 +26,12 @@
 def test_fleet_forms_and_elects_one_leader():
     simulation = FleetSimulation()
     simulation.run(5)
-    assert len(simulation.leaders()) == 1
-    voters = {simulation.entry(name).discovery.voters for name in ('e0', 'e3')}
-    assert voters == {('e0', 'e1', 'e2')}
+    (leader,) = simulation.leaders()
+    names = ('e0', 'e1', 'e2')
+    voters = {simulation.entry(name).voter.voters for name in names}
+    assert voters == {names}
+    assert simulation.entry('e3').voter.voters == ()
+    assert simulation.entry('e3').leader == leader
 
 
 def test_configuration_is_active_on_all_entries_and_readable():
--- /dev/null
+++ b/packages/core/cactushead_core/fleet/tests/test_voters.py
@@ -0,0 +1,103 @@
+"""Who votes in a fleet whose disks are lost and whose machines are replaced."""
+
+from cactushead_core.configuration.responses import (
+    ConfigurationStored,
+    NewestConfiguration,
+)
+
+from .simulation import FleetSimulation
+
+# Bounds of a small deployment: a lost machine counts as back after the first,
+# and the entries are in touch after the second.
+CATCH_UP_S = 4.0
+IN_TOUCH_S = 3.0
+RESTART_S = 0.5
+
+
+def start_fleet(**options):
+    simulation = FleetSimulation(agents=0, **options)
+    simulation.run(5)
+    simulation.configure('e0', 1)
+    simulation.run(1)
+    return simulation
+
+
+def restart(simulation, names, *, empty=()):
+    for name in names:
+        simulation.kill(name, silent=True)
+    for name in empty:
+        simulation.wipe(name)
+    simulation.run(RESTART_S)
+    for name in names:
+        simulation.start(name)
+
+
+def restart_all(simulation):
+    restart(
+        simulation,
+        [name for name in simulation.processes if simulation.is_up(name)],
+    )
+
+
+def voting(simulation):
+    """Returns the entries that vote by their own membership."""
+    replicas = {
+        name: simulation.entry(name).voter.replica
+        for name in simulation.processes
+        if simulation.is_up(name)
+    }
+    return [
+        name
+        for name, replica in replicas.items()
+        if replica is not None and replica.votes
+    ]
+
+
+def store(simulation, entry, version):
+    number = simulation.configure(entry, version)
+    simulation.run(1)
+    return simulation.responses.get(number)
+
+
+def read(simulation, entry):
+    number = simulation.read(entry)
+    simulation.run(0.5)
+    return simulation.responses.get(number)
+
+
+def assert_newest(simulation, entry, version):
+    newest = NewestConfiguration(version, f'{version}:q'.encode())
+    assert read(simulation, entry) == newest
+
+
+def test_lost_disks_are_replaced_after_restart_of_all_entries():
+    """No entry knew the voters after it, so an empty disk never joined again.
+
+    The second lost disk left one voter of three, and the acknowledged
+    configuration could not be read any more.
+    """
+    simulation = start_fleet()
+    restart_all(simulation)
+    simulation.run(CATCH_UP_S)
+    assert store(simulation, 'e3', 2) == ConfigurationStored()
+    for name in ('e0', 'e1'):
+        restart(simulation, [name], empty=[name])
+        simulation.run(CATCH_UP_S)
+        assert voting(simulation) == ['e0', 'e1', 'e2']
+    assert_newest(simulation, 'e3', 2)
+    assert store(simulation, 'e0', 3) == ConfigurationStored()
+
+
+def test_new_machine_replaces_voter_after_restart_of_all_entries():
+    simulation = start_fleet()
+    restart_all(simulation)
+    simulation.run(CATCH_UP_S)
+    for number, lost in enumerate(('e0', 'e1', 'e2')):
+        simulation.kill(lost, silent=True)
+        simulation.run(RESTART_S)
+        simulation.add_entry(f'n{number}')
+        simulation.run(CATCH_UP_S + IN_TOUCH_S)
+        assert len(voting(simulation)) == 3
+        assert store(simulation, 'e3', number + 2) == ConfigurationStored()
+    assert voting(simulation) == ['n0', 'n1', 'n2']
+    assert_newest(simulation, 'e3', 4)
--- a/packages/core/cactushead_core/fleet/voter.py
+++ b/packages/core/cactushead_core/fleet/voter.py
@@ -15,7 +15,6 @@
     SnapshotNeeded,
     StoredLog,
 )
-from ..replication.membership import MembershipHistory, decode_members
 from .settings import FleetSettings
 from .state_machine import StateMachine
 
@@ -24,11 +23,12 @@
     """The replicated log of an entry with a disk.
 
     Explanation:
-        The replica exists once the entry knows the voters, either from its
-        disk or from the selection that another entry announced.
+        The replica's membership is the only list of the voters that an entry
+        keeps. An empty disk gets it from the leader that admits it, or from
+        the selection of the first start.
 
     Attributes:
-        replica: The replica, None before the voters are known.
+        replica: The replica, None without a disk.
         is_leader: Whether this entry leads and may propose log entries.
     """
 
@@ -50,7 +50,6 @@
         self.replica: Replica | None = None
         self.is_leader = False
         self._settings = settings
-        self._stored = stored
         self._state_machine = state_machine
         self._handlers = {
             LeaderReady: self._on_leader_ready,
@@ -59,9 +58,8 @@
             SnapshotInstalled: self._on_snapshot_installed,
             SnapshotNeeded: self._on_snapshot_needed,
         }
-        names = _stored_voters(stored)
-        if names:
-            self._open_replica(names, now_s)
+        if settings.own.disk_incarnation:
+            self.replica = Replica(_replica_settings(settings), stored, now_s)
 
     @property
     def term(self) -> int:
@@ -75,22 +73,37 @@
 
     def describe_voters(self) -> str:
         """Returns the known voters and how this entry came to know them."""
-        if not self._settings.own.disk_incarnation:
+        if self.replica is None:
             return 'none, since this entry has no disk'
-        if self.replica is None or not self.replica.voters:
+        if not self.replica.voters:
             return 'none'
         names = ', '.join(self.replica.voters)
         return f'{names}; {self.replica.membership_source}'
 
-    def set_voters(self, voters: tuple[str, ...], now_s: float) -> None:
-        """Opens the replica with the given voters, unless it is open."""
-        if self.replica is None and self._settings.own.disk_incarnation:
-            self._open_replica(voters, now_s)
+    @property
+    def voters(self) -> tuple[str, ...]:
+        """Voters of the replica's membership, empty if it knows none."""
+        return () if self.replica is None else self.replica.voters
+
+    @property
+    def needs_contacts(self) -> bool:
+        """Whether the replica may have to ask for the membership."""
+        replica = self.replica
+        return replica is not None and not (replica.votes and replica.leader)
 
-    def set_leader(self, leader: str) -> None:
-        """Passes the leader that a peer announced to the replica."""
+    def select_voters(self, voters: tuple[str, ...]) -> None:
+        """Passes the selection of the first start to the replica."""
         if self.replica is not None:
-            self.replica.set_membership_contacts((leader,))
+            self.replica.select_voters(voters)
+
+    def set_contacts(self, names: tuple[str, ...]) -> None:
+        """Sets whom the replica asks for the membership.
+
+        Args:
+            names: Entries that may know it.
+        """
+        if self.replica is not None:
+            self.replica.set_membership_contacts(names)
 
     def handle(self, event: Event, effects: list[Effect]) -> None:
         """Processes one event in the replica."""
@@ -117,21 +130,6 @@
         """Returns the replica if this entry leads, else None."""
         return self.replica if self.is_leader else None
 
-    def _open_replica(self, voters: tuple[str, ...], now_s: float) -> None:
-        own = self._settings.own
-        settings = ReplicaSettings(
-            own.name,
-            own.disk_incarnation,
-            tuple(sorted(voters)),
-            heartbeat_s=self._settings.append_s,
-            election_timeout_s=self._settings.election_s,
-            snapshot_entries=self._settings.snapshot_entries,
-            kept_entries=self._settings.kept_entries,
-            voters_wanted=self._settings.voters_wanted,
-            seed=self._settings.seed,
-        )
-        self.replica = Replica(settings, self._stored, now_s)
-
     def _handle_output(
         self, output: ReplicaOutput, effects: list[Effect]
     ) -> None:
@@ -203,11 +201,15 @@
             self._handle_output(self.replica.compact(index, state), effects)
 
 
-def _stored_voters(stored: StoredLog) -> tuple[str, ...]:
-    """Returns the voters of the newest membership on the disk."""
-    history = MembershipHistory(
-        stored.snapshot_index,
-        decode_members(stored.members),
+def _replica_settings(settings: FleetSettings) -> ReplicaSettings:
+    return ReplicaSettings(
+        settings.own.name,
+        settings.own.disk_incarnation,
+        voters=(),
+        heartbeat_s=settings.append_s,
+        election_timeout_s=settings.election_s,
+        snapshot_entries=settings.snapshot_entries,
+        kept_entries=settings.kept_entries,
+        voters_wanted=settings.voters_wanted,
+        seed=settings.seed,
     )
-    history.record_changes(stored.entries)
-    return tuple(member.name for member in history.voters())
--- a/packages/core/cactushead_core/fleet/voter_selection.py
+++ b/packages/core/cactushead_core/fleet/voter_selection.py
@@ -4,7 +4,8 @@
     The seed with the smallest address selects; all processes have the same
     seeds at the first start. It waits until its set of known entries with a
     disk has been stable for `STABLE_PERIOD_S` and announces the selection to
-    all entries. A process keeps the first selection that it receives.
+    all entries. A process keeps the first selection that it receives, until a
+    leader shows that the membership exists.
 """
 
 from collections import Counter
@@ -20,7 +21,11 @@
 
 
 class VoterSelection:
-    """Selection of the initial voters."""
+    """Selection of the initial voters.
+
+    Attributes:
+        selected: The selection, empty before it and after its use.
+    """
 
     def __init__(self, settings: FleetSettings, discovery: Discovery) -> None:
         """Initializes the state before the selection.
@@ -29,6 +34,8 @@
             settings: Settings of the entry.
             discovery: Known and connected members.
         """
+        self.selected: tuple[str, ...] = ()
+        self._ended = False
         self._settings = settings
         self._discovery = discovery
         self._candidate_names: frozenset[str] = frozenset()
@@ -40,6 +47,22 @@
             and settings.own.endpoint == seeds[0]
         )
 
+    def receive(self, voters: tuple[str, ...]) -> bool:
+        """Takes over a selection unless there is one; returns whether it did.
+
+        Args:
+            voters: Voters that another entry names, empty for none.
+        """
+        if not voters or self.selected or self._ended:
+            return False
+        self.selected = voters
+        return True
+
+    def end(self) -> None:
+        """Forgets the selection, as the fleet has a membership."""
+        self.selected = ()
+        self._ended = True
+
     def select(self, now_s: float, effects: list[Effect]) -> tuple[str, ...]:
         """Selects the voters once the set of entries with a disk is stable.
 
@@ -48,9 +71,9 @@
             effects: List to which effects are appended.
 
         Returns:
-            Names of the voters, empty before the selection.
+            Names of the voters, empty if none are selected now.
         """
-        if not self._is_selector:
+        if not self._is_selector or self.selected or self._ended:
             return ()
         members = self._candidates()
         names = frozenset(member.name for member in members)
@@ -64,11 +87,10 @@
             or len(members) < wanted
         ):
             return ()
-        selected = tuple(sorted(spread_over_data_centres(members, wanted)))
-        effects.append(
-            Record('voters chosen', detail=', '.join(selected), logged=True),
-        )
-        return selected
+        self.selected = tuple(sorted(spread_over_data_centres(members, wanted)))
+        detail = ', '.join(self.selected)
+        effects.append(Record('voters chosen', detail=detail, logged=True))
+        return self.selected
 
     def _candidates(self) -> list[MemberAddress]:
         known = (self._settings.own, *self._discovery.members)
--- a/packages/core/cactushead_core/replication/formation.py
+++ b/packages/core/cactushead_core/replication/formation.py
@@ -10,6 +10,9 @@
     the replies to its earlier queries; otherwise it could still adopt a
     membership that was stored only on disks lost in the meantime.
 
+    The list of voters is part of the settings, or it is selected when a fleet
+    starts for the first time. Without one, a process only asks to join.
+
     The membership is the log's first entry and lists pairs of process name
     and disk incarnation. Another voter adopts it if its own pair is listed.
     A disk that is not listed is new and grants no vote until a leader has
@@ -69,18 +72,30 @@
             self._voters,
             self._query_id,
         )
-        for name in sorted({*self._voters, *self._contacts}):
+        members = (member.name for member in state.membership.members)
+        for name in sorted({*self._voters, *members, *self._contacts}):
             if name != state.settings.name:
                 state.send(name, query)
 
     def update_contacts(self, names: tuple[str, ...]) -> None:
-        """Sets further query receivers, as listed voters may be replaced.
+        """Sets further query receivers, as known voters may be replaced.
 
         Args:
-            names: Processes that are reported as current voters or leader.
+            names: Processes that may know the membership.
         """
         self._contacts = names
 
+    def select_voters(self, names: tuple[str, ...]) -> None:
+        """Sets the voters that form the cell, unless they are known.
+
+        Args:
+            names: Names of the voters.
+        """
+        if self._voters or self._state.membership.members:
+            return
+        self._voters = tuple(sorted(names))
+        self._start_query_round()
+
     def query_received(self, query: MembershipQuery) -> None:
         """Replies to a membership query.
 
@@ -90,9 +105,10 @@
         state = self._state
         members = state.membership.members
         if not members:
-            if tuple(sorted(query.voters)) != self._voters:
+            listed = tuple(sorted(query.voters))
+            if not listed or self._voters not in {(), listed}:
                 return
-            if query.name == self._voters[0]:
+            if query.name == listed[0]:
                 self._start_query_round()
         reply = MembershipReply(
             state.settings.name,
@@ -123,7 +139,9 @@
     def _is_membership_current(self, last_contact_s: float) -> bool:
         """Whether this replica leads or is a voter in contact with a leader."""
         state = self._state
-        if state.role is Role.LEADER or len(self._voters) == 1:
+        if state.role is Role.LEADER:
+            return True
+        if self._voters == (state.settings.name,):
             return True
         if not state.is_voter:
             return False
@@ -134,7 +152,7 @@
         )
 
     def _is_bootstrap_voter(self) -> bool:
-        return self._state.settings.name == self._voters[0]
+        return self._voters[:1] == (self._state.settings.name,)
 
     def _form_if_confirmed(self) -> None:
         """Forms the cell if two successive rounds reported the same disks."""
--- a/packages/core/cactushead_core/replication/messages.py
+++ b/packages/core/cactushead_core/replication/messages.py
@@ -33,7 +33,7 @@
     Attributes:
         name: Name of the process.
         incarnation: Incarnation of its disk.
-        voters: The voters that its settings list.
+        voters: The voters with which it may form a cell; empty for none.
         query_id: Identifier of the query round.
     """
 
--- a/packages/core/cactushead_core/replication/replica.py
+++ b/packages/core/cactushead_core/replication/replica.py
@@ -161,10 +161,18 @@
             the leader admits it.
 
         Args:
-            names: Processes that are reported as current voters or leader.
+            names: Processes that may know the membership.
         """
         self._components.formation.update_contacts(names)
 
+    def select_voters(self, names: tuple[str, ...]) -> None:
+        """Sets the voters that form the cell, unless they are known.
+
+        Args:
+            names: Names of the voters.
+        """
+        self._components.formation.select_voters(names)
+
     @property
     def voters(self) -> tuple[str, ...]:
         """Names of the voters of the known membership."""
--- a/packages/core/cactushead_core/replication/settings.py
+++ b/packages/core/cactushead_core/replication/settings.py
@@ -14,7 +14,8 @@
         name: Name of this process.
         incarnation: Incarnation of its disk, generated when the disk was
             empty.
-        voters: Names of the voters that form the cell.
+        voters: Names of the voters that form the cell; empty if they are
+            selected later, or if the cell exists.
         heartbeat_s: Interval between the leader's heartbeats.
         election_timeout_s: Minimum election timeout; the maximum is twice
             as long.
