Let only disks kept since the first start form a membership

What callers saw (in virtual time; not seen on real processes): the first voters had been replaced by other machines. Machines with their names came back with empty disks, were told the voters of the first start, formed a second membership and elected a second leader. With the real voters down, the configuration that these had acknowledged was lost.

Cause: a cell forms once all listed voters report empty disks in two rounds, which proves that all state has been lost if the list never changes. The voters of a fleet change, so the listed disks may be empty while others hold the state. Any process could name the first list for as long as it ran.

Change, in four rules: - A disk that was empty at the first start stores that in its identity file. Only a process with such a disk, or in the first start itself, takes over a selection. The one voter that forms the membership has thus never formed it if its log is empty. - Members are reported only once they are on the reporting disk, so that voter can't lose what others have adopted from it. - A selection is void once a process reports a membership, or a leader is known. - An empty disk without a list answers only the voter that forms the membership.

Older software reads the identity file as before; a file of it counts as not of the first start. The cell with voters in its settings forms as before, but for the second rule.

--- a/packages/core/cactushead_core/fleet/entry.py
+++ b/packages/core/cactushead_core/fleet/entry.py
@@ -311,6 +311,8 @@
     ) -> None:
         self.discovery.introduction_received(message)
         self._evacuated_agents.introduced(message.member, effects)
+        if self.voter.voters:
+            return
         if self._voter_selection.receive(message.voters):
             self._announce_selection(message.voters, effects)
 
--- a/packages/core/cactushead_core/fleet/settings.py
+++ b/packages/core/cactushead_core/fleet/settings.py
@@ -16,6 +16,8 @@
         losses: Number of disks that may be lost at the same time; 2 n + 1
             voters tolerate n losses.
         first_start: Whether the fleet starts for the first time.
+        is_disk_from_first_start: Whether the disk has been kept since the
+            fleet's first start.
         append_s: Maximum interval between two messages of a leader to a
             voter.
         election_s: Minimum election timeout; four heartbeats, which
@@ -35,6 +37,7 @@
     seeds: tuple[Endpoint, ...]
     losses: int = 1
     first_start: bool = False
+    is_disk_from_first_start: bool = False
     append_s: float = 0.15
     election_s: float = 0.6
     snapshot_entries: int = 0
@@ -43,6 +46,17 @@
     dispatch: DispatchSettings = field(default_factory=DispatchSettings)
     seed: int = 0
 
+    @property
+    def takes_selection(self) -> bool:
+        """Whether the entry takes part in the selection of the first voters.
+
+        Explanation:
+            A disk that has been lost since the first start must not: a
+            membership may exist that its old one was part of, and other lost
+            disks would form a second one with it.
+        """
+        return self.first_start or self.is_disk_from_first_start
+
     @property
     def voters_wanted(self) -> int:
         """Number of voters that tolerates the loss of `losses` of them."""
--- a/packages/core/cactushead_core/fleet/tests/simulation.py
+++ b/packages/core/cactushead_core/fleet/tests/simulation.py
@@ -86,10 +86,12 @@
     Attributes:
         incarnation: Its identity; empty for a process without a disk.
         stored: Durable contents.
+        is_from_first_start: Whether it has been kept since the first start.
     """
 
     incarnation: str = ''
     stored: StoredLog = field(default_factory=StoredLog)
+    is_from_first_start: bool = False
 
     def append(self, effect: fx.AppendLog) -> None:
         """Makes entries durable."""
@@ -186,7 +188,6 @@
         self._jobs = itertools.count(1)
         names = [f'e{number}' for number in range(voters + diskless)]
         self.seeds = tuple(Endpoint(name, PORT) for name in names[:3])
-        self._seeds_of: dict[str, tuple[Endpoint, ...]] = {}
         for number, name in enumerate(names):
             disk = Disk(f'{name}-disk-1' if number < voters else '')
             self._add(name, PeerRole.ENTRY, disk)
@@ -208,6 +209,8 @@
         """Starts a process."""
         process = self.processes[name]
         process.start_count += 1
+        if first and process.disk.incarnation:
+            process.disk.is_from_first_start = True
         member = replace(
             process.member,
             disk_incarnation=process.disk.incarnation,
@@ -218,19 +221,21 @@
             self._heartbeat(name)
 
     def add_entry(self, name: str) -> None:
-        """Starts a new entry with an empty disk.
-
-        Explanation:
-            The platform gives it the addresses of processes that are up now.
-        """
-        up = [other for other in self.processes if self.is_up(other)]
-        entries = [other for other in up if self._is_entry(other)]
-        self._seeds_of[name] = tuple(
-            Endpoint(other, PORT) for other in entries[:3]
-        )
+        """Starts a new entry with an empty disk."""
         self._add(name, PeerRole.ENTRY, Disk(f'{name}-disk-1'))
+        self.update_seeds()
         self.start(name)
 
+    def update_seeds(self) -> None:
+        """Names three entries that are up now to each process that starts."""
+        up = [
+            name
+            for name, process in self.processes.items()
+            if process.node is not None
+            and process.member.role is PeerRole.ENTRY
+        ]
+        self.seeds = tuple(Endpoint(name, PORT) for name in up[:3])
+
     def is_up(self, name: str) -> bool:
         """Whether a process runs."""
         return self.processes[name].node is not None
@@ -259,6 +264,7 @@
         number = int(disk.incarnation.rpartition('-')[2]) + 1
         disk.incarnation = f'{name}-disk-{number}'
         disk.stored = StoredLog()
+        disk.is_from_first_start = False
 
     def pause(self, name: str) -> None:
         """Pauses a process."""
@@ -430,9 +436,6 @@
 
     # Simulated input and output of the reducers.
 
-    def _is_entry(self, name: str) -> bool:
-        return self.processes[name].member.role is PeerRole.ENTRY
-
     def _add(self, name: str, role: PeerRole, disk: Disk) -> Process:
         member = MemberAddress(name, role, name, PORT, f'dc-{name}')
         self.processes[name] = Process(member, disk)
@@ -452,8 +455,9 @@
         return FleetEntry(
             FleetSettings(
                 member,
-                self._seeds_of.get(member.name, self.seeds),
+                self.seeds,
                 first_start=first,
+                is_disk_from_first_start=process.disk.is_from_first_start,
                 data_centres=self._data_centres,
                 dispatch=self._dispatch,
             ),
--- a/packages/core/cactushead_core/fleet/tests/test_voters.py
+++ b/packages/core/cactushead_core/fleet/tests/test_voters.py
@@ -1,9 +1,12 @@
 """Who votes in a fleet whose disks are lost and whose machines are replaced."""
 
+import pytest
 from cactushead_core.configuration.responses import (
     ConfigurationStored,
     NewestConfiguration,
 )
+from cactushead_core.discovery import Introduction, MemberAddress
+from cactushead_core.events import MessageReceived, Peer, PeerRole
 
 from .simulation import FleetSimulation
 
@@ -12,6 +15,7 @@
 CATCH_UP_S = 4.0
 IN_TOUCH_S = 3.0
 RESTART_S = 0.5
+FIRST_VOTERS = ('e0', 'e1', 'e2')
 
 
 def start_fleet(**options):
@@ -101,3 +105,76 @@
         assert store(simulation, 'e3', number + 2) == ConfigurationStored()
     assert voting(simulation) == ['n0', 'n1', 'n2']
     assert_newest(simulation, 'e3', 4)
+
+
+def tell_first_voters(simulation, name):
+    """Sends a message of an entry that keeps the first selection for ever."""
+    teller = Peer('old', PeerRole.ENTRY, 'old/1')
+    member = MemberAddress('old', PeerRole.ENTRY, 'old', 7000)
+    message = Introduction(member, FIRST_VOTERS)
+    simulation.feed(name, lambda now_s: MessageReceived(now_s, teller, message))
+
+
+def replace_first_voters(simulation):
+    for number, lost in enumerate(FIRST_VOTERS):
+        simulation.kill(lost, silent=True)
+        simulation.run(RESTART_S)
+        simulation.add_entry(f'n{number}')
+        simulation.run(CATCH_UP_S + IN_TOUCH_S)
+
+
+def test_empty_disks_told_an_old_list_form_no_membership():
+    """They formed a second one, in which the configuration was lost.
+
+    The first voters had been replaced by other machines. They come back with
+    empty disks, at their old addresses, and an entry of earlier software names
+    the voters of the first start to them.
+    """
+    simulation = start_fleet()
+    replace_first_voters(simulation)
+    assert store(simulation, 'e3', 2) == ConfigurationStored()
+    for name in FIRST_VOTERS:
+        simulation.wipe(name)
+        simulation.start(name)
+        tell_first_voters(simulation, name)
+    simulation.run(CATCH_UP_S)
+    assert voting(simulation) == ['n0', 'n1', 'n2']
+    assert len(simulation.leaders()) == 1
+    assert_newest(simulation, 'e0', 2)
+
+
+def test_empty_disks_form_no_membership_while_the_voters_are_down():
+    """The same while no entry can tell them that a membership exists."""
+    simulation = start_fleet()
+    replace_first_voters(simulation)
+    assert store(simulation, 'e3', 2) == ConfigurationStored()
+    for name in ('n0', 'n1', 'n2'):
+        simulation.kill(name, silent=True)
+    for name in FIRST_VOTERS:
+        simulation.wipe(name)
+        simulation.start(name)
+    simulation.run(1)
+    for name in FIRST_VOTERS:
+        tell_first_voters(simulation, name)
+    simulation.run(CATCH_UP_S)
+    assert voting(simulation) == []
+    assert read(simulation, 'e0') != NewestConfiguration(1, b'1:q')
+    for name in ('n0', 'n1', 'n2'):
+        simulation.start(name)
+    simulation.run(CATCH_UP_S)
+    assert voting(simulation) == ['n0', 'n1', 'n2']
+    assert_newest(simulation, 'e0', 2)
+
+
+@pytest.mark.parametrize('name', FIRST_VOTERS)
+@pytest.mark.parametrize('after_s', [0.2, 0.5, 0.8, 0.85, 0.9, 1.0, 1.2])
+def test_fleet_forms_although_one_voter_restarts_at_once(name, after_s):
+    """A disk of the first start that is kept may still form the membership."""
+    simulation = FleetSimulation(agents=0, diskless=2)
+    simulation.run(after_s)
+    simulation.kill(name, silent=True)
+    simulation.run(RESTART_S)
+    simulation.start(name)
+    simulation.run(CATCH_UP_S + IN_TOUCH_S)
+    assert store(simulation, 'e3', 1) == ConfigurationStored()
+    assert voting(simulation) == list(FIRST_VOTERS)
--- a/packages/core/cactushead_core/fleet/voter_selection.py
+++ b/packages/core/cactushead_core/fleet/voter_selection.py
@@ -55,6 +55,8 @@
         """
         if not voters or self.selected or self._ended:
             return False
+        if not self._settings.takes_selection:
+            return False
         self.selected = voters
         return True
 
--- a/packages/core/cactushead_core/replication/formation.py
+++ b/packages/core/cactushead_core/replication/formation.py
@@ -11,7 +11,11 @@
     membership that was stored only on disks lost in the meantime.
 
     The list of voters is part of the settings, or it is selected when a fleet
-    starts for the first time. Without one, a process only asks to join.
+    starts for the first time. Without one, a process only asks to join. A
+    selected list may be outdated, so it is void once a member is heard of, and
+    only the owner may tell it to a process whose disk has been kept since the
+    first start: if the bootstrap voter has an empty log then, it has never
+    formed a cell. For this, members are reported only once they are on disk.
 
     The membership is the log's first entry and lists pairs of process name
     and disk incarnation. Another voter adopts it if its own pair is listed.
@@ -103,6 +107,8 @@
             query: The query.
         """
         state = self._state
+        if not state.is_empty and not state.disk.synced_index:
+            return
         members = state.membership.members
         if not members:
             listed = tuple(sorted(query.voters))
@@ -130,6 +136,8 @@
         if reply.members:
             self._first_round_disks = {}
             self._reported_disks = {}
+            if not self._state.settings.voters:
+                self._voters = ()
             self._adopt(reply)
         elif reply.name in self._voters:
             self._reported_disks[reply.name] = reply.incarnation
--- a/packages/node/cactushead_node/fleet/entry_process.py
+++ b/packages/node/cactushead_node/fleet/entry_process.py
@@ -77,8 +77,9 @@
         incarnation = make_incarnation()
         self._settings = settings
         self._servers = servers
-        self._storage = _open_data_dir(settings.data_dir)
-        disk = '' if self._storage is None else self._storage.incarnation
+        self._storage = _open_data_dir(settings)
+        storage = self._storage
+        disk = '' if storage is None else storage.incarnation
         own = replace(settings.own, disk_incarnation=disk)
         self._process_links = ProcessLinks(
             own, incarnation, settings.connections.max_handshakes
@@ -89,12 +90,14 @@
                 settings.seeds,
                 losses=settings.losses,
                 first_start=settings.first_start,
+                is_disk_from_first_start=storage is not None
+                and storage.is_from_first_start,
                 data_centres=settings.data_centres,
                 dispatch=settings.dispatch,
                 seed=zlib.crc32(incarnation.encode()),
             ),
             incarnation,
-            StoredLog() if self._storage is None else self._storage.load(),
+            StoredLog() if storage is None else storage.load(),
             file_format,
             boot_time_s(),
         )
@@ -103,7 +106,7 @@
             self._process_links.links,
             tick_s=TICK_S,
             event_queue=self._process_links.event_queue,
-            storage=self._storage,
+            storage=storage,
             observer=LoggingObserver('entry'),
             effect_handlers={
                 Dial: self._process_links.dial,
@@ -158,5 +161,9 @@
             stopped.set()
 
 
-def _open_data_dir(data_dir: str) -> Storage | None:
-    return open_storage(Path(data_dir)) if data_dir else None
+def _open_data_dir(settings: FleetEntrySettings) -> Storage | None:
+    if not settings.data_dir:
+        return None
+    return open_storage(
+        Path(settings.data_dir), first_start=settings.first_start
+    )
--- a/packages/node/cactushead_node/storage/delayed.py
+++ b/packages/node/cactushead_node/storage/delayed.py
@@ -27,6 +27,11 @@
         """Identity of the wrapped storage."""
         return self._inner.incarnation
 
+    @property
+    def is_from_first_start(self) -> bool:
+        """Whether the wrapped storage is from the first start."""
+        return self._inner.is_from_first_start
+
     def _load(self) -> StoredLog:
         return self._inner.load()
 
--- a/packages/node/cactushead_node/storage/files.py
+++ b/packages/node/cactushead_node/storage/files.py
@@ -4,6 +4,7 @@
 import os
 import uuid
 from collections.abc import Sequence
+from dataclasses import dataclass
 from pathlib import Path
 
 from cactushead_core.effects import (
@@ -39,20 +40,36 @@
     """The data folder is locked by another process."""
 
 
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Identity of a data folder.
+
+    Attributes:
+        incarnation: Random id, generated when the folder was empty.
+        is_from_first_start: Whether that was in the first start of the fleet.
+    """
+
+    incarnation: str
+    is_from_first_start: bool
+
+
 class FileStorage(Storage):
     """Files in a data folder, locked against other processes."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, *, first_start: bool = False) -> None:
         """Opens the folder; creates it and its identity if it is empty.
 
         Args:
             folder: The data folder.
+            first_start: Whether the fleet starts for the first time, which an
+                empty folder remembers.
 
         Raises:
             StorageInUseError: Another process has locked the folder.
             StorageError: The folder is unreadable or damaged.
         """
         self._folder = folder
+        self._first_start = first_start
         try:
             self._open()
         except OSError as error:
@@ -61,7 +78,12 @@
     @property
     def incarnation(self) -> str:
         """Identity of the disk, generated when it was empty."""
-        return self._incarnation
+        return self._identity.incarnation
+
+    @property
+    def is_from_first_start(self) -> bool:
+        """Whether the disk was empty when its fleet started, and not since."""
+        return self._identity.is_from_first_start
 
     def _open(self) -> None:
         create_folder(self._folder)
@@ -73,8 +95,10 @@
             raise
 
     def _open_files(self) -> None:
-        self._incarnation = _read_identity(self._folder)
-        self._salt = make_salt(self._incarnation)
+        self._identity = _read_identity(
+            self._folder, first_start=self._first_start
+        )
+        self._salt = make_salt(self._identity.incarnation)
         self._log = LogFile(self._folder / LOG_NAME, self._salt)
 
     def _load(self) -> StoredLog:
@@ -140,13 +164,16 @@
         os.close(self._lock)
 
 
-def open_storage(folder: Path, sync_delay_s: float = 0) -> Storage:
+def open_storage(
+    folder: Path, sync_delay_s: float = 0, *, first_start: bool = False
+) -> Storage:
     """Opens a data folder.
 
     Args:
         folder: The data folder; it is created if it does not exist.
         sync_delay_s: Delay that is added to each batch of writes, to
             simulate slower disks.
+        first_start: Whether the fleet starts for the first time.
 
     Returns:
         The storage.
@@ -154,7 +181,7 @@
     Raises:
         StorageError: The folder is unreadable, damaged or in use.
     """
-    storage = FileStorage(folder)
+    storage = FileStorage(folder, first_start=first_start)
     if sync_delay_s > 0:
         return DelayedStorage(storage, sync_delay_s)
     return storage
@@ -191,9 +218,13 @@
     return descriptor
 
 
-def _read_identity(folder: Path) -> str:
+def _read_identity(folder: Path, *, first_start: bool) -> Identity:
     """Returns the identity of a data folder, generated if it is empty.
 
+    Args:
+        folder: The data folder.
+        first_start: Whether the fleet starts for the first time.
+
     Raises:
         StorageError: The identity or the log is missing.
     """
@@ -206,9 +237,11 @@
     if found and not has_log:
         raise StorageError(f'{folder} has a {found[0]} file but no log')
     if fields:
-        return str(fields[0])
+        # Earlier software stored the incarnation alone.
+        return Identity(str(fields[0]), fields[1:] == [True])
     if has_log:
         raise StorageError(f'{folder} has a log but no identity')
-    incarnation = uuid.uuid4().hex
-    write_record_file(path, [incarnation], IDENTITY_SALT)
-    return incarnation
+    identity = Identity(uuid.uuid4().hex, first_start)
+    stored = [identity.incarnation, identity.is_from_first_start]
+    write_record_file(path, stored, IDENTITY_SALT)
+    return identity
--- a/packages/node/cactushead_node/storage/storage.py
+++ b/packages/node/cactushead_node/storage/storage.py
@@ -35,6 +35,11 @@
     def incarnation(self) -> str:
         """Identity of the disk, generated when it was empty."""
 
+    @property
+    def is_from_first_start(self) -> bool:
+        """Whether the disk was empty when its fleet started, and not since."""
+        return False
+
     def load(self) -> StoredLog:
         """Returns the state that was stored when the storage was opened.
 
--- a/packages/node/cactushead_node/storage/tests/test_files.py
+++ b/packages/node/cactushead_node/storage/tests/test_files.py
@@ -1,5 +1,6 @@
 """Tests of the storage in a data folder and in memory."""
 
+import shutil
 import time
 
 import pytest
@@ -62,6 +63,28 @@
     second.close()
 
 
+@pytest.mark.parametrize('first_start', [False, True])
+def test_folder_remembers_the_first_start(tmp_path, first_start):
+    """A lost disk must not be taken for one of the first start."""
+    storage = open_storage(tmp_path, first_start=first_start)
+    storage.close()
+    again = open_storage(tmp_path, sync_delay_s=0.001)
+    assert again.is_from_first_start is first_start
+    again.close()
+    shutil.rmtree(tmp_path)
+    lost = open_storage(tmp_path)
+    assert not lost.is_from_first_start
+    lost.close()
+
+
+def test_identity_of_earlier_software_is_not_of_the_first_start(tmp_path):
+    atomic_file.write_record_file(tmp_path / 'identity', ['one'], salt=0)
+    storage = open_storage(tmp_path, first_start=True)
+    assert storage.incarnation == 'one'
+    assert not storage.is_from_first_start
+    storage.close()
+
+
 def test_events_confirm_durable_effects(tmp_path):
     storage = open_storage(tmp_path, sync_delay_s=0.001)
     effects = [
