Count the silence of a lost leader from its last message

What callers saw (in virtual time; not seen on real processes): after the loss of a leader for good its place in the membership was taken late, at times later than `catch-up-s` (4 s) after the start of its successor. One more loss then leaves no majority: no configuration can be read or stored.

Cause: a member may be replaced after 2 s of silence, and a new leader counted the silence of all members from its own election.

Change: an elected follower counts the silence of the leader that it followed directly before from that one's last message, and grants it an election timeout to answer, as it may have returned. Other members are counted as before.

--- a/packages/core/cactushead_core/replication/election.py
+++ b/packages/core/cactushead_core/replication/election.py
@@ -14,12 +14,26 @@
 """
 
 import random
+from dataclasses import dataclass
 
 from .messages import VoteReply, VoteRequest
 from .quorum import is_majority
 from .state import ReplicaState, Role
 
 
+@dataclass(frozen=True, slots=True)
+class SilentMember:
+    """A member that was silent before an election.
+
+    Attributes:
+        name: Its name, empty if none is known.
+        last_contact_s: Time of its last message.
+    """
+
+    name: str
+    last_contact_s: float
+
+
 class Election:
     """Leader election of one replica."""
 
@@ -34,6 +48,7 @@
         seed = f'{settings.seed}/{settings.name}/{settings.incarnation}'
         self._random = random.Random(seed)
         self._last_contact_s = state.now_s
+        self._last_leader = ''
         self._deadline_s = 0.0
         self._saved_term = state.term
         self._saved_vote = state.voted_for
@@ -49,8 +64,20 @@
     def record_leader_contact(self) -> None:
         """Records a message from the current leader."""
         self._last_contact_s = self._state.now_s
+        self._last_leader = self._state.leader
         self._reset_timeout()
 
+    def take_silent_leader(self) -> SilentMember:
+        """Returns the leader that this replica followed before it leads.
+
+        Explanation:
+            Only once: while this replica leads, it knows better itself which
+            members are silent.
+        """
+        silent = SilentMember(self._last_leader, self._last_contact_s)
+        self._last_leader = ''
+        return silent
+
     def leadership_transferred(self) -> None:
         """Restarts the election timeout so that the successor can win."""
         self._reset_timeout()
--- a/packages/core/cactushead_core/replication/leader.py
+++ b/packages/core/cactushead_core/replication/leader.py
@@ -11,6 +11,7 @@
 from operator import attrgetter
 
 from ..effects import LogEntry
+from .election import SilentMember
 from .invariants import require
 from .membership import (
     Members,
@@ -32,11 +33,12 @@
 class Leader:
     """Leader role of one replica in one term."""
 
-    def __init__(self, state: ReplicaState) -> None:
+    def __init__(self, state: ReplicaState, silent: SilentMember) -> None:
         """Becomes leader after a won election and appends an empty entry.
 
         Args:
             state: State of the replica.
+            silent: The leader before, whose silence led to the election.
         """
         require(
             state.role is Role.CANDIDATE,
@@ -55,6 +57,7 @@
         self._voting_peers: list[Progress] = []
         self._join_requests: dict[str, str] = {}
         self._refresh_peers()
+        self._count_silence(silent)
         self.append([b''])
 
     def append(
@@ -257,6 +260,22 @@
             self._peers[member.name] for member in others if member.votes
         ]
 
+    def _count_silence(self, silent: SilentMember) -> None:
+        """Counts a member's silence from before this replica led.
+
+        Explanation:
+            It still gets an election timeout to answer the new leader, as it
+            may have returned meanwhile.
+        """
+        progress = self._peers.get(silent.name)
+        if progress is None:
+            return
+        settings = self._state.settings
+        credit_s = settings.replace_after_s - settings.election_timeout_s
+        progress.last_contact_s = max(
+            silent.last_contact_s, self._state.now_s - max(credit_s, 0)
+        )
+
     def _progress_of(self, member: Member) -> Progress:
         known = self._peers.get(member.name)
         if known is not None and known.incarnation == member.incarnation:
--- a/packages/core/cactushead_core/replication/receiver.py
+++ b/packages/core/cactushead_core/replication/receiver.py
@@ -43,7 +43,8 @@
     def become_leader_if(self, won: bool) -> None:
         """Creates the leader component if an election was won."""
         if won:
-            self._leader = Leader(self.state)
+            silent = self.election.take_silent_leader()
+            self._leader = Leader(self.state, silent)
 
 
 class Receiver:
--- a/packages/core/cactushead_core/replication/tests/test_replica.py
+++ b/packages/core/cactushead_core/replication/tests/test_replica.py
@@ -573,3 +573,27 @@
         Harness(
             stored=StoredLog(term=1, entries=(FORMATION, LogEntry(1, 3, b'')))
         )
+
+
+def test_silence_before_an_earlier_term_does_not_count():
+    """Guards against the replacement of a member that answers.
+
+    The replica followed b once, has led itself since then, and is elected again.
+    """
+    settings = ReplicaSettings('a', 'a1', ('a', 'b', 'c'), voters_wanted=3)
+    voter = Harness()
+    voter.replica = Replica(settings, STORED, 0.0)
+    voter.receive('b', append(1, (1, 1)))
+    voter.win_election()
+    voter.now_s += AFTER_TIMEOUT_S
+    voter.handle_event(Tick)
+    assert not voter.replica.leads
+    voter.now_s += AFTER_TIMEOUT_S
+    voter.handle_event(Tick)
+    voter.receive('c', VoteReply(3, 'c', 'c1', True, True))
+    voter.handle_event(VoteSaved, 3, 'a')
+    voter.receive('c', VoteReply(3, 'c', 'c1', True, False))
+    assert voter.replica.leads
+    leader = voter.replica._components.active_leader()
+    contacts = [peer.last_contact_s for peer in leader._peers.values()]
+    assert contacts == [voter.now_s, voter.now_s]
