Show the voters that an entry knows in its metrics

What was missing: the processes of a fleet had no gauges, so only the log told whom an entry takes for voters. A voter that had been replaced while it was away logged nothing: by its own disk it still votes. An entry that joins at once logged a wait at each start.

Each entry of a fleet answers GET /v1/metrics at its operators' address with gauges (votes, voters, index of the membership, waits) and with the voters, where it has them from, and why it waits. The wait is logged after 1 s, with its length, and by replaced voters too.

Tests: test_voter_that_was_replaced_logs_that_it_waits failed before.

--- a/packages/core/cactushead_core/fleet/entry.py
+++ b/packages/core/cactushead_core/fleet/entry.py
@@ -39,7 +39,7 @@
 )
 from .cancellations import Cancellations
 from .evacuated_agents import EvacuatedAgents
-from .membership_report import MembershipReport
+from .membership_report import MembershipReport, MembershipStatus
 from .messages import CancelJob, CancelJobReply
 from .settings import FleetSettings
 from .state_machine import StateMachine
@@ -121,6 +121,11 @@
             return self._leader
         return ''
 
+    @property
+    def membership(self) -> MembershipStatus:
+        """What this entry knows about the voters."""
+        return self._membership_report.status()
+
     def can_reject_unknown_queue(self, now_s: float) -> bool:
         """Whether the active configuration is confirmed as the newest.
 
--- a/packages/core/cactushead_core/fleet/tests/test_membership_report.py
+++ b/packages/core/cactushead_core/fleet/tests/test_membership_report.py
@@ -24,11 +24,11 @@
     simulation = start_fleet()
     simulation.run(20)
     assert logged(simulation, 'e1', 'voters known') == [
-        'none',
+        'none; no membership received yet',
         'e0, e1, e2; from entry 1 of its log',
     ]
     assert logged(simulation, 'e3', 'voters known') == [
-        'none, since this entry has no disk'
+        'none; an entry without a disk keeps no list'
     ]
 
 
@@ -53,7 +53,25 @@
     waits = logged(simulation, 'e3', 'waits to join')
     assert len(waits) == 4
     (leader,) = simulation.leaders()
-    assert set(waits) == {
-        f'leader {leader} has not admitted it yet; linked to 3 entries'
-    }
+    cause = f'leader {leader} has not admitted it yet; linked to 3 entries'
+    assert {wait.partition(': ')[2] for wait in waits} == {cause}
+    status = simulation.entry('e3').membership
+    assert (status.votes, status.wait_cause) == (False, cause)
+    status = simulation.entry('e0').membership
+    assert (status.votes, status.wait_cause) == (True, '')
+    assert status.voters == ('e0', 'e1', 'e2')
     assert logged(simulation, 'e0', 'waits to join') == []
+
+
+def test_voter_that_was_replaced_logs_that_it_waits():
+    """Its disk says that it votes, so it was silent."""
+    simulation = start_fleet(voters=4, diskless=0)
+    simulation.kill('e1', silent=True)
+    simulation.run(5)
+    simulation.start('e1')
+    simulation.run(4)
+    waits = logged(simulation, 'e1', 'waits to join')
+    (leader,) = simulation.leaders()
+    assert waits == [
+        f'for 1 s: leader {leader} has no such voter; linked to 3 entries'
+    ]
--- a/packages/core/cactushead_core/fleet/voter.py
+++ b/packages/core/cactushead_core/fleet/voter.py
@@ -71,14 +71,13 @@
         """Name of the leader that the replica follows, empty if none."""
         return '' if self.replica is None else self.replica.leader
 
-    def describe_voters(self) -> str:
-        """Returns the known voters and how this entry came to know them."""
+    def describe_source(self) -> str:
+        """Returns how this entry came to know the voters."""
         if self.replica is None:
-            return 'none, since this entry has no disk'
+            return 'an entry without a disk keeps no list'
         if not self.replica.voters:
-            return 'none'
-        names = ', '.join(self.replica.voters)
-        return f'{names}; {self.replica.membership_source}'
+            return 'no membership received yet'
+        return self.replica.membership_source
 
     @property
     def voters(self) -> tuple[str, ...]:
--- a/packages/core/cactushead_core/replication/tests/test_replica.py
+++ b/packages/core/cactushead_core/replication/tests/test_replica.py
@@ -578,7 +578,7 @@
 def test_silence_before_an_earlier_term_does_not_count():
     """Guards against the replacement of a member that answers.
 
-    The replica followed b once, has led itself since then, and is elected again.
+    The replica followed b once, has led itself since, and is elected again.
     """
     settings = ReplicaSettings('a', 'a1', ('a', 'b', 'c'), voters_wanted=3)
     voter = Harness()
--- a/packages/node/cactushead_node/fleet/gateway.py
+++ b/packages/node/cactushead_node/fleet/gateway.py
@@ -13,7 +13,7 @@
 from cactushead_core.dispatch import BestEffortSubmitted, CancelRequested
 from cactushead_core.effects import Response
 from cactushead_core.evacuation import EvacuationRequested
-from cactushead_core.fleet import FleetEntry
+from cactushead_core.fleet import FleetEntry, MembershipStatus
 from cactushead_core.tasks import (
     BestEffortJob,
     JobEnd,
@@ -197,6 +197,10 @@
         """
         return JobState(self._node.dispatcher.state(job))
 
+    def membership(self) -> MembershipStatus:
+        """Returns what this entry knows about the voters."""
+        return self._node.membership
+
     def pending(self, queue: QueueDocument) -> Pending:
         """Returns the number of jobs of a queue that have not started.
 
