Select no voters once a membership is known

What could happen: the entry that selects the voters did so again after a restart whose settings still call it the first start, although it had the membership on its disk. The entries that heard of it first would have asked the wrong ones; nothing was seen to be lost, since the forming voter of such a list has a log.

Cause: the selection looked at the selection before it, which is not kept, and not at the membership. Change: an entry with a membership selects nothing.

Test: test_no_voters_are_selected_once_a_membership_is_known failed before ("voters chosen" was logged again).

--- a/packages/core/cactushead_core/fleet/cancellations.py
+++ b/packages/core/cactushead_core/fleet/cancellations.py
@@ -98,9 +98,9 @@
         Callers choose no entry, and no entry knows which one has a job that
         needn't be kept. An entry with a disk has links to all entries and asks
         them; one without asks such an entry to do so, whether that one votes
-        now or not. An entry whose link is lost counts as
-        one without the job, since the runs of its jobs end. In case it was only
-        silent, it is asked again when it is connected again.
+        now or not. An entry whose link is lost counts as one without the job,
+        since the runs of its jobs end. In case it was only silent, it is asked
+        again when it is connected again.
     """
 
     def __init__(
--- a/packages/core/cactushead_core/fleet/entry.py
+++ b/packages/core/cactushead_core/fleet/entry.py
@@ -256,9 +256,8 @@
 
     def _on_tick(self, event: Tick, effects: list[Effect]) -> None:
         now_s = event.now_s
-        selected = self._voter_selection.select(now_s, effects)
-        if selected:
-            self._announce_selection(selected, effects)
+        if not self.voter.voters:
+            self._select_voters(now_s, effects)
         if self.voter.needs_contacts:
             self.voter.set_contacts(self._find_contacts())
         leads = self.voter.holds_leader_lease(now_s)
@@ -284,6 +283,11 @@
         self._membership_report.tick(now_s, effects)
         self.dispatcher.tick(now_s, effects)
 
+    def _select_voters(self, now_s: float, effects: list[Effect]) -> None:
+        selected = self._voter_selection.select(now_s, effects)
+        if selected:
+            self._announce_selection(selected, effects)
+
     def _active_peers(self) -> set[str]:
         """Returns the peers whose silence has to be noticed soon."""
         agents = {
--- a/packages/core/cactushead_core/fleet/tests/test_voters.py
+++ b/packages/core/cactushead_core/fleet/tests/test_voters.py
@@ -178,3 +178,22 @@
     simulation.run(CATCH_UP_S + IN_TOUCH_S)
     assert store(simulation, 'e3', 1) == ConfigurationStored()
     assert voting(simulation) == list(FIRST_VOTERS)
+
+
+def test_no_voters_are_selected_once_a_membership_is_known():
+    """Settings may still say that the fleet starts for the first time."""
+    simulation = start_fleet(voters=6)
+    names = [name for name in simulation.processes if name[0] == 'e']
+    for name in names:
+        simulation.kill(name, silent=True)
+    simulation.run(RESTART_S)
+    simulation.logged.clear()
+    for name in ('e0', 'e3', 'e4', 'e5'):
+        simulation.start(name, first=True)
+    simulation.run(CATCH_UP_S)
+    assert 'voters chosen' not in {one.kind for _, one in simulation.logged}
+    for name in ('e1', 'e2'):
+        simulation.start(name, first=True)
+    simulation.run(CATCH_UP_S)
+    assert voting(simulation) == list(FIRST_VOTERS)
+    assert_newest(simulation, 'e4', 1)
--- a/packages/core/cactushead_core/replication/formation.py
+++ b/packages/core/cactushead_core/replication/formation.py
@@ -12,10 +12,10 @@
 
     The list of voters is part of the settings, or it is selected when a fleet
     starts for the first time. Without one, a process only asks to join. A
-    selected list may be outdated, so it is void once a member is heard of, and
-    only the owner may tell it to a process whose disk has been kept since the
-    first start: if the bootstrap voter has an empty log then, it has never
-    formed a cell. For this, members are reported only once they are on disk.
+    selected list may be outdated, so it is void once a member is heard of. The
+    owner passes it only to a process whose disk has been kept since the first
+    start. If such a bootstrap voter has an empty log, no cell was ever formed
+    with its list, since members are reported only once they are on disk.
 
     The membership is the log's first entry and lists pairs of process name
     and disk incarnation. Another voter adopts it if its own pair is listed.
