Log and count how configurations arrive at entries

The log told neither since when an entry knows of a newer configuration nor how many copies of known ones it receives, so the hypotheses in docs/incidents/late-configurations.md (copies, processor time, links) could not be told apart.

An entry logs 'configuration behind' once when it learns of a newer version, and with 'document in force' the sender and the copies received in vain. Nothing is decided by it.

--- a/packages/core/cactushead_core/configuration/__init__.py
+++ b/packages/core/cactushead_core/configuration/__init__.py
@@ -1,5 +1,6 @@
 """The configuration of all queues and services, replaced as a unit."""
 
+from .arrivals import ConfigurationStatus
 from .messages import (
     ConfigurationRecord,
     ConfigurationUpdate,
@@ -16,6 +17,7 @@
     'SubmissionReply',
     'ConfigurationUpdate',
     'ConfigurationRecord',
+    'ConfigurationStatus',
     'NewestRequest',
     'NewestReply',
     'QueueDocument',
--- a/packages/core/cactushead_core/configuration/manager.py
+++ b/packages/core/cactushead_core/configuration/manager.py
@@ -5,6 +5,7 @@
 from ..effects import Effect, EventKind, LogEntry, Record, Respond, Send
 from ..messages.codec import decode_message, encode_message
 from ..replication import Replica
+from .arrivals import Arrivals, ConfigurationStatus
 from .events import ConfigurationSubmitted, NewestRequested
 from .messages import (
     ConfigurationRecord,
@@ -71,12 +72,17 @@
         self._requests = LeaderRequests()
         self._proposals = Proposals(SubmissionReply)
         self._confirmed_s = float('-inf')
+        self._arrivals = Arrivals()
 
     @property
     def version(self) -> int:
         """Version of the active configuration, 0 without one."""
         return 0 if self.active is None else self.active.version
 
+    def status(self, now_s: float) -> ConfigurationStatus:
+        """Returns how far the active configuration is."""
+        return self._arrivals.status(now_s)
+
     def is_confirmed(self, now_s: float) -> bool:
         """Whether a leader recently confirmed this version as the newest."""
         return now_s - self._confirmed_s < CONFIRMATION_LIFETIME_S
@@ -249,12 +255,35 @@
 
     def update_received(
         self,
+        sender: str,
         message: ConfigurationUpdate,
         effects: list[Effect],
     ) -> None:
         """Activates a configuration received from another entry, if newer."""
+        if message.version <= self.version:
+            self._arrivals.superfluous(len(message.source))
+            return
         record = ConfigurationRecord(message.version, message.source)
-        self._activate(record, effects)
+        self._activate(record, sender, effects)
+
+    def version_announced(
+        self,
+        sender: str,
+        version: int,
+        now_s: float,
+        effects: list[Effect],
+    ) -> None:
+        """Records the version that another entry has."""
+        if not self._arrivals.announced(version, now_s):
+            return
+        effects.append(
+            Record(
+                'configuration behind',
+                subject=self._name,
+                detail=f'version {self.version}, {sender} has {version}',
+                logged=True,
+            ),
+        )
 
     def current_update(self) -> ConfigurationUpdate | None:
         """Returns the message that distributes the active configuration.
@@ -278,22 +307,23 @@
     ) -> None:
         if record.version > self._stored.version:
             self._stored = record
-            self._activate(record, effects)
+            if record.version > self.version:
+                self._activate(record, 'the log', effects)
 
     def _activate(
         self,
         record: ConfigurationRecord,
+        sender: str,
         effects: list[Effect],
     ) -> None:
-        if record.version <= self.version:
-            return
         self.active = self._format.read(record.source)
         self.queues = QueueTable(self.active)
+        arrival = self._arrivals.activated(record.version)
         effects.append(
             Record(
                 EventKind.DOCUMENT_IN_FORCE,
                 subject=self._name,
-                detail=f'version {record.version}',
+                detail=f'version {record.version} from {sender}; {arrival}',
                 logged=True,
             ),
         )
--- a/packages/core/cactushead_core/fleet/entry.py
+++ b/packages/core/cactushead_core/fleet/entry.py
@@ -309,6 +309,9 @@
             self.configuration.confirm_newest(ping.configuration_version, now_s)
         if sender.role is not PeerRole.ENTRY:
             return
+        self.configuration.version_announced(
+            sender.name, ping.configuration_version, now_s, effects
+        )
         if ping.evacuations_version < self.evacuations.version:
             effects.append(Send(sender.name, self.evacuations.active))
         update = self.configuration.current_update()
--- a/packages/core/cactushead_core/fleet/state_messages.py
+++ b/packages/core/cactushead_core/fleet/state_messages.py
@@ -69,7 +69,7 @@
             case NewestReply():
                 manager.newest_replied(message, effects)
             case ConfigurationUpdate():
-                manager.update_received(message, effects)
+                manager.update_received(sender, message, effects)
             case SubmitEvacuation():
                 evacuations.store(sender, message, replica, now_s, effects)
             case EvacuationReply():
--- a/packages/node/cactushead_node/fleet/gateway.py
+++ b/packages/node/cactushead_node/fleet/gateway.py
@@ -4,7 +4,10 @@
 from dataclasses import dataclass
 
 import trio
-from cactushead_core.configuration import Configuration
+from cactushead_core.configuration import (
+    Configuration,
+    ConfigurationStatus,
+)
 from cactushead_core.configuration.events import (
     ConfigurationSubmitted,
     NewestRequested,
@@ -201,6 +204,10 @@
         """Returns what this entry knows about the voters."""
         return self._node.membership
 
+    def configuration_status(self) -> ConfigurationStatus:
+        """Returns how far the configuration of this entry is."""
+        return self._node.configuration.status(self._now())
+
     def pending(self, queue: QueueDocument) -> Pending:
         """Returns the number of jobs of a queue that have not started.
 
