Reproduce large configurations that are in force too late

Callers of an entry with a narrow link were served by a configuration older than one acknowledged more than config-apply-ms before.

The network simulation gets a bandwidth per process.

--- a/packages/core/cactushead_core/fleet/tests/network.py
+++ b/packages/core/cactushead_core/fleet/tests/network.py
@@ -4,7 +4,8 @@
     A process handles its queued events in turns and sends at the end of a turn
     by the name of the peer, on the link that is open then. Each end of a link
     opens and closes at a time of its own. A link keeps the order of its frames;
-    a cut holds them back until it heals or the receiver closes the link. What
+    a cut holds them back until it heals or the receiver closes the link. Frames
+    wait for each other where a process has a limited bandwidth. What
     arrives at a paused process waits in order by its source, and sources are
     read in any order after the pause.
 """
@@ -34,6 +35,7 @@
     StartLeased,
     StopLeased,
 )
+from cactushead_core.messages import encode_frame
 
 from .simulation import (
     CALL_S,
@@ -104,11 +106,28 @@
     links: dict[str, Link] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class QueuedFrame:
+    """A frame that waits for the bandwidth of a process.
+
+    Attributes:
+        link: Link that carries it.
+        size_bytes: Its size.
+        step: Step to execute when it has passed.
+    """
+
+    link: Link
+    size_bytes: int
+    step: Callable[[], None]
+
+
 class NetworkSimulation(FleetSimulation):
     """A fleet on a network with delays, cuts and resets.
 
     Attributes:
         rng: Draws delays and orders.
+        bandwidths: Bytes a second that a process sends, and as many that it
+            receives; unlimited if it is not listed.
         delays_s: Delay of each link by its ends; drawn for each link.
         call_lateness: Returns how late a call is carried out, None for in time.
         records: Newest logged records of all processes.
@@ -127,6 +146,8 @@
         self.on_response: Callable[[int], None] = lambda _: None
         self._loops: dict[str, Loop] = defaultdict(Loop)
         self._held_links: dict[tuple[str, str], list[Link]] = {}
+        self.bandwidths: dict[str, float] = {}
+        self._frame_queues: dict[tuple[str, str], deque[QueuedFrame]] = {}
         super().__init__(**settings)  # type: ignore[arg-type]
         self._advance_upstreams()
 
@@ -388,8 +409,16 @@
             return
         sender = process.peer
         messages = [send.message for send in sends]
+        size_bytes = 0
+        if name in self.bandwidths or peer in self.bandwidths:
+            size_bytes = len(encode_frame(messages))
 
         def read() -> None:
+            self._wait_for_bandwidth(
+                (peer, 'receives'), QueuedFrame(link, size_bytes, deliver)
+            )
+
+        def deliver() -> None:
             if peer not in link.open:
                 return
             link.heard_s[peer] = self.now_s
@@ -401,7 +430,40 @@
                     ),
                 )
 
-        self._transmit(link, peer, read)
+        self._wait_for_bandwidth(
+            (name, 'sends'),
+            QueuedFrame(
+                link, size_bytes, lambda: self._transmit(link, peer, read)
+            ),
+        )
+
+    def _wait_for_bandwidth(
+        self, end: tuple[str, str], frame: QueuedFrame
+    ) -> None:
+        """Queues a frame behind those that a process sends or receives."""
+        if end[0] not in self.bandwidths:
+            frame.step()
+            return
+        queue = self._frame_queues.setdefault(end, deque())
+        queue.append(frame)
+        if len(queue) == 1:
+            self._pass_next(end)
+
+    def _pass_next(self, end: tuple[str, str]) -> None:
+        """Lets the first frame of a queue pass; those of closed links go."""
+        queue = self._frame_queues[end]
+        while queue and end[0] not in queue[0].link.open:
+            queue.popleft()
+        if not queue:
+            return
+        frame = queue[0]
+
+        def passed() -> None:
+            queue.popleft()
+            frame.step()
+            self._pass_next(end)
+
+        self._schedule(frame.size_bytes / self.bandwidths[end[0]], passed)
 
     def _transmit(
         self, link: Link, receiver: str, step: Callable[[], None]
