Request a newer configuration from one entry at a time

Callers of an entry with a narrow link were served by a configuration older than one that had been acknowledged more than config-apply-ms before.

Cause: an entry answered every ping that named an older version with the whole configuration. An entry that is behind pings all others each 0.3 s, so until the first copy had arrived, every entry sent one, and again with the next ping. A dozen copies of 290 KB share a link of 12.5 Mbit/s for over 2 s. A link over which no whole message arrives for 1 s is cut as silent, which loses what it carried, and the copies start anew over the next link. The next version waits behind all of it.

Processor time is ruled out: no entry used over 0.15 of a core on average, and decoding 1,440 routes takes 14 ms on this machine.

An entry that is behind now requests the configuration from one entry, and from the next when the link is lost or nothing comes for 1, 2, 4, 8 s. Its other pings request nothing. So at most one copy is on its way unless a time-out is reached, and versions that were overtaken meanwhile are skipped. The leader announces a new version by a ping instead of a copy; voters wait 0.5 s for the log, which brings the same bytes. No message is added: a request is a ping that names version 0, which earlier software answers, and entries of earlier software, which name their older version, are answered by the leader.

--- a/packages/core/cactushead_core/discovery/__init__.py
+++ b/packages/core/cactushead_core/discovery/__init__.py
@@ -2,10 +2,18 @@
 
 from .discovery import Discovery
 from .effects import Dial, DropPeer
-from .messages import Introduction, LinkReleased, MemberAddresses, Ping
+from .messages import (
+    CONFIGURATION_REQUEST,
+    NO_REQUEST,
+    Introduction,
+    LinkReleased,
+    MemberAddresses,
+    Ping,
+)
 from .model import Endpoint, MemberAddress
 
 __all__ = [
+    'CONFIGURATION_REQUEST',
     'Dial',
     'Discovery',
     'DropPeer',
@@ -14,5 +22,6 @@
     'LinkReleased',
     'MemberAddress',
     'MemberAddresses',
+    'NO_REQUEST',
     'Ping',
 ]
--- a/packages/core/cactushead_core/discovery/messages.py
+++ b/packages/core/cactushead_core/discovery/messages.py
@@ -34,6 +34,12 @@
     members: tuple[MemberAddress, ...]
 
 
+# Configuration versions of pings that are no versions. Earlier software sends
+# its configuration in answer to the first, and nothing in answer to the second.
+CONFIGURATION_REQUEST = 0
+NO_REQUEST = 2**63 - 1
+
+
 @wire_type(122)
 @dataclass(frozen=True, slots=True)
 class Ping(Message):
@@ -43,7 +49,9 @@
         term: Newest term of the replicated log known to the sender.
         leads: Whether the sender is the leader of that term with a valid
             lease.
-        configuration_version: Version of the sender's configuration.
+        configuration_version: Version of the sender's configuration;
+            `CONFIGURATION_REQUEST` if it requests the receiver's,
+            `NO_REQUEST` if it has none, or waits for a newer one.
         evacuations_version: Version of the evacuations that it knows.
     """
 
--- a/packages/core/cactushead_core/fleet/entry.py
+++ b/packages/core/cactushead_core/fleet/entry.py
@@ -38,6 +38,7 @@
     UpstreamReport,
 )
 from .cancellations import Cancellations
+from .distribution import Distribution
 from .evacuated_agents import EvacuatedAgents
 from .membership_report import MembershipReport, MembershipStatus
 from .messages import CancelJob, CancelJobReply
@@ -88,6 +89,9 @@
         state_machine = StateMachine(self.configuration, self.evacuations)
         self.voter = Voter(settings, stored, state_machine, now_s)
         self._state_messages = StateMessages(
+            self.configuration, self.evacuations, self.voter
+        )
+        self._distribution = Distribution(
             self.configuration, self.evacuations, self.voter, self.discovery
         )
         self._evacuated_agents = EvacuatedAgents(
@@ -187,7 +191,7 @@
     def _end_turn(self, event: TurnEnded, effects: list[Effect]) -> None:
         self.voter.handle(event, effects)
         self._evacuated_agents.end_turn(effects)
-        self._state_messages.announce_version(effects)
+        self._distribution.end_turn(self.leader, event.now_s, effects)
         if self.dispatcher.draining and self.dispatcher.idle:
             self._end_drain(effects)
 
@@ -270,12 +274,7 @@
         if elected:
             due = list(self.discovery.connected)
         if due:
-            ping = Ping(
-                self.voter.term,
-                leads,
-                self.configuration.version,
-                self.evacuations.version,
-            )
+            ping = self._distribution.make_ping(leads=leads)
             effects.extend(Send(name, ping) for name in due)
         self.configuration.tick(now_s, effects)
         self.evacuations.tick(now_s, effects)
@@ -309,14 +308,9 @@
             self.configuration.confirm_newest(ping.configuration_version, now_s)
         if sender.role is not PeerRole.ENTRY:
             return
-        self.configuration.version_announced(
-            sender.name, ping.configuration_version, now_s, effects
-        )
+        self._distribution.ping_received(sender.name, ping, now_s, effects)
         if ping.evacuations_version < self.evacuations.version:
             effects.append(Send(sender.name, self.evacuations.active))
-        update = self.configuration.current_update()
-        if update is not None and ping.configuration_version < update.version:
-            effects.append(Send(sender.name, update))
 
     def _on_introduction(
         self, message: Introduction, effects: list[Effect]
@@ -359,6 +353,7 @@
     def _on_peer_lost(self, event: PeerLost, effects: list[Effect]) -> None:
         self.discovery.peer_lost(event.peer, event.now_s, effects)
         self._cancellations.peer_lost(event.peer.name, effects)
+        self._distribution.peer_lost(event.peer.name)
         if event.peer.role is PeerRole.AGENT:
             self.dispatcher.agents.lost(event.peer, event.now_s)
 
--- a/packages/core/cactushead_core/fleet/state_messages.py
+++ b/packages/core/cactushead_core/fleet/state_messages.py
@@ -8,24 +8,21 @@
     SubmitConfiguration,
 )
 from ..configuration.manager import ConfigurationManager
-from ..discovery import Discovery
-from ..effects import Effect, Send
+from ..effects import Effect
 from ..evacuation import EvacuationReply, EvacuationState, SubmitEvacuation
 from ..evacuation.manager import EvacuationManager
-from ..events import PeerRole
 from ..messages.base import Message
 from .voter import Voter
 
 
 class StateMessages:
-    """Passes messages to the managers of the state, and announces versions."""
+    """Passes messages to the managers of the state."""
 
     def __init__(
         self,
         configuration: ConfigurationManager,
         evacuations: EvacuationManager,
         voter: Voter,
-        discovery: Discovery,
     ) -> None:
         """Shares the state of the entry.
 
@@ -33,13 +30,10 @@
             configuration: Its configuration.
             evacuations: Its evacuations.
             voter: Its replica of the log.
-            discovery: Its links.
         """
         self._configuration = configuration
         self._evacuations = evacuations
         self._voter = voter
-        self._discovery = discovery
-        self._announced_version = 0
 
     def received(
         self,
@@ -76,20 +70,3 @@
                 evacuations.replied(message, effects)
             case EvacuationState():
                 evacuations.state_received(message, effects)
-
-    def announce_version(self, effects: list[Effect]) -> None:
-        """Sends a new configuration to all entries if this entry leads.
-
-        Args:
-            effects: List to which effects are appended.
-        """
-        version = self._configuration.version
-        if version == self._announced_version or not self._voter.is_leader:
-            return
-        self._announced_version = version
-        update = self._configuration.current_update()
-        if update is not None:
-            effects.extend(
-                Send(name, update)
-                for name in self._discovery.peers(PeerRole.ENTRY)
-            )
--- a/packages/core/cactushead_core/fleet/voter.py
+++ b/packages/core/cactushead_core/fleet/voter.py
@@ -87,8 +87,13 @@
     @property
     def needs_contacts(self) -> bool:
         """Whether the replica may have to ask for the membership."""
+        return self.replica is not None and not self.follows
+
+    @property
+    def follows(self) -> bool:
+        """Whether the replica votes and follows a leader."""
         replica = self.replica
-        return replica is not None and not (replica.votes and replica.leader)
+        return replica is not None and replica.votes and bool(replica.leader)
 
     def select_voters(self, voters: tuple[str, ...]) -> None:
         """Passes the selection of the first start to the replica."""
