Read from a link while a large frame is being written to it

Links between two entries stood still in both directions and were cut as silent after 1 s.

Cause: the WebSocket library calls send_data after each read, which waits for the lock of the write in progress. While a process writes a frame that the sockets don't hold, it reads nothing. If the peer writes a large frame at the same time, as an entry that forwards a configuration to the leader while it receives another one, each waits until the other one reads.

Evidence: two processes on loopback that send each other 12 MB at once never receive them (the new test failed before this change with TooSlowError after 10 s).

A connection now skips send_data if the protocol has queued nothing, which is the case unless there is a pong or a close to answer with. So a read never waits for a write of the same process.

Test: test_large_frames_in_both_directions_arrive.

--- a/packages/node/cactushead_node/peers/links.py
+++ b/packages/node/cactushead_node/peers/links.py
@@ -15,6 +15,7 @@
 from websockets.trio.connection import Connection
 
 from ..ports import DeliverEvent, FrameInterceptor, MessageTransport
+from .connections import DialledConnection
 from .counters import LinkCounters
 from .link import CLOSE_TIMEOUT_S, Link, close_socket
 from .messages import Hello
@@ -166,6 +167,7 @@
                 close_timeout=CLOSE_TIMEOUT_S,
                 open_timeout=HELLO_TIMEOUT_S,
                 max_size=MAX_FRAME_BYTES,
+                create_connection=DialledConnection,
             ) as socket:
                 await self.run_socket(socket, address.name)
         except _DIAL_ERRORS as error:
--- a/packages/node/cactushead_node/peers/listener.py
+++ b/packages/node/cactushead_node/peers/listener.py
@@ -7,6 +7,7 @@
 from websockets.trio.server import serve
 
 from ..settings import ConnectionLimits
+from .connections import AcceptedConnection
 from .handshakes import Handshakes, LinkListener
 from .link import CLOSE_TIMEOUT_S
 from .links import (
@@ -56,4 +57,5 @@
         close_timeout=CLOSE_TIMEOUT_S,
         open_timeout=HELLO_TIMEOUT_S,
         max_size=MAX_FRAME_BYTES,
+        create_connection=AcceptedConnection,
     )
--- a/packages/node/cactushead_node/peers/tests/test_links.py
+++ b/packages/node/cactushead_node/peers/tests/test_links.py
@@ -105,6 +105,30 @@
     run(exchange)
 
 
+# Guards against two processes that each wait until the other one reads: a link
+# on which a large frame is being written read nothing, so large frames in both
+# directions stopped it until it was cut as silent.
+def test_large_frames_in_both_directions_arrive():
+    # Exceeds what the sockets of both ends buffer.
+    large = Acknowledge(1, ('x' * 12_000_000,))
+
+    async def exchange():
+        voter, agent = LinkedProcess('voter'), LinkedProcess('agent')
+        async with listening(voter) as port, agent.dialling(port):
+            await agent.recorder.wait_for(PeerConnected(0.0, voter.peer))
+            await voter.recorder.wait_for(PeerConnected(0.0, agent.peer))
+            agent.links.send('voter', [large])
+            voter.links.send('agent', [large])
+            for receiver, sender in ((voter, agent), (agent, voter)):
+                await receiver.recorder.wait_for(
+                    PeerConnected(0.0, sender.peer),
+                    MessageReceived(0.0, sender.peer, large),
+                )
+                assert receiver.links.counters.dropped_links == 0
+
+    run(exchange)
+
+
 def test_second_link_replaces_a_silent_one():
     # The agent has dropped the first link, but the voter has not noticed.
     async def reconnect():
