--- a/packages/node/cactushead_node/peers/connections.py
+++ b/packages/node/cactushead_node/peers/connections.py
@@ -1,23 +1,44 @@
 """WebSocket connections that read while a large frame is being written."""
 
+import logging
+
+import trio
 from websockets.trio.client import ClientConnection
 from websockets.trio.connection import Connection
 from websockets.trio.server import ServerConnection
 
+_log = logging.getLogger('cactushead.peers')
+
 
 class _ReadingConnection(Connection):
     """Reads although a write waits until the peer reads.
 
     Explanation:
-        The library calls `send_data` after each read, for answers such as
-        pongs, and `send_data` waits for the write in progress. Without answers
-        there is nothing to wait for; two ends that both wait would never read.
+        The library calls `send_data` after each read, to send answers such as
+        pongs, and `send_data` may wait for the peer. Two ends that both wait
+        would never read, so the task that reads lets another task send.
     """
 
+    _reader: trio.lowlevel.Task | None = None
+
+    async def recv_events(self) -> None:
+        """Reads until the connection ends."""
+        self._reader = trio.lowlevel.current_task()
+        await super().recv_events()
+
     async def send_data(self) -> None:
-        """Sends the data that the protocol has queued, if any."""
-        if self.protocol.writes:
+        """Sends what is queued; the reader doesn't wait for that."""
+        if trio.lowlevel.current_task() is not self._reader:
+            await super().send_data()
+        elif self.protocol.writes:
+            self.nursery.start_soon(self._send_answers)
+
+    async def _send_answers(self) -> None:
+        try:
             await super().send_data()
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            # The reader finds that the connection has ended.
+            _log.debug('peers: cannot send an answer: %r', error)
 
 
 class DialledConnection(_ReadingConnection, ClientConnection):
