--- a/packages/node/cactushead_node/peers/connections.py
+++ b/packages/node/cactushead_node/peers/connections.py
@@ -1,6 +1,8 @@
 """WebSocket connections that read while a large frame is being written."""
 
 import logging
+from collections.abc import Awaitable, Callable
+from typing import Any
 
 import trio
 from websockets.trio.client import ClientConnection
@@ -19,7 +21,10 @@
         would never read, so the task that reads lets another task send.
     """
 
-    _reader: trio.lowlevel.Task | None = None
+    def __init__(self, *args: Any, **options: Any) -> None:
+        """Creates a connection as the library does."""
+        self._reader: trio.lowlevel.Task | None = None
+        super().__init__(*args, **options)
 
     async def recv_events(self) -> None:
         """Reads until the connection ends."""
@@ -31,14 +36,7 @@
         if trio.lowlevel.current_task() is not self._reader:
             await super().send_data()
         elif self.protocol.writes:
-            self.nursery.start_soon(self._send_answers)
-
-    async def _send_answers(self) -> None:
-        try:
-            await super().send_data()
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            # The reader finds that the connection has ended.
-            _log.debug('peers: cannot send an answer: %r', error)
+            self.nursery.start_soon(_send_answers, super().send_data)
 
 
 class DialledConnection(_ReadingConnection, ClientConnection):
@@ -47,3 +45,11 @@
 
 class AcceptedConnection(_ReadingConnection, ServerConnection):
     """Connection that this process has accepted."""
+
+
+async def _send_answers(send: Callable[[], Awaitable[None]]) -> None:
+    try:
+        await send()
+    except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+        # The reader finds that the connection has ended.
+        _log.debug('peers: cannot send an answer: %r', error)
