Count the parts of a large message as signs of life of a peer

An entry never got a configuration that takes over 1 s on its link. It served its callers by the older one, and each attempt used its whole bandwidth.

Cause: a link is cut if no message arrives over it for 1 s, and a message counted only when it was complete. The next attempt, over the next link, ends in the same way.

Frames over 64 KB are sent in parts, as WebSocket fragments, which earlier software joins by itself. The arrival of a part is an event that restarts the time-outs of the peer. It doesn't tell that the message was not held up: that is judged when it is complete, as before.

--- a/packages/core/cactushead_core/discovery/discovery.py
+++ b/packages/core/cactushead_core/discovery/discovery.py
@@ -187,6 +187,10 @@
         """
         return self._keepalive.received(name, now_s)
 
+    def message_in_progress(self, name: str, now_s: float) -> None:
+        """Records that a part of a peer's message arrived."""
+        self._keepalive.in_progress(name, now_s)
+
     def record_sends(self, effects: Iterable[Effect], now_s: float) -> None:
         """Records which peers need no ping, as they are sent a message.
 
--- a/packages/core/cactushead_core/discovery/keepalive.py
+++ b/packages/core/cactushead_core/discovery/keepalive.py
@@ -90,6 +90,17 @@
         times.heard_s = now_s
         return silence_s > MAX_SILENCE_S
 
+    def in_progress(self, name: str, now_s: float) -> None:
+        """Records that a part of a peer's message arrived.
+
+        Explanation:
+            The peer is not silent; whether its message was held up is told
+            when it is complete.
+        """
+        times = self._peers.get(name)
+        if times is not None:
+            times.received_s = now_s
+
     def sent(self, name: str, now_s: float) -> None:
         """Records that a message was sent to a peer."""
         times = self._peers.get(name)
--- a/packages/core/cactushead_core/events.py
+++ b/packages/core/cactushead_core/events.py
@@ -58,6 +58,17 @@
     """All pending events of an event-loop turn are reduced; send batches."""
 
 
+@dataclass(frozen=True, slots=True)
+class MessageInProgress(Event):
+    """A part of a large message arrived, and more parts follow.
+
+    Attributes:
+        sender: The peer that sends it.
+    """
+
+    sender: Peer
+
+
 @dataclass(frozen=True, slots=True)
 class ProcessResumed(Event):
     """The process was paused; precedes the next event.
--- a/packages/core/cactushead_core/fleet/entry.py
+++ b/packages/core/cactushead_core/fleet/entry.py
@@ -18,6 +18,7 @@
     CallerDisconnected,
     DrainRequested,
     Event,
+    MessageInProgress,
     MessageReceived,
     Peer,
     PeerConnected,
@@ -163,12 +164,7 @@
             case CancelRequested():
                 self._cancellations.requested(event, effects)
             case CallerDisconnected():
-                self.configuration.caller_disconnected(event.request_id)
-                self.evacuations.caller_disconnected(event.request_id)
-                self._cancellations.caller_disconnected(event.request_id)
-                self.dispatcher.on_caller_disconnected(
-                    event.request_id, now_s, effects
-                )
+                self._on_caller_disconnected(event.request_id, now_s, effects)
             case ConfigurationSubmitted():
                 self.configuration.configuration_submitted(
                     event, self.leader, effects
@@ -179,6 +175,8 @@
                 self.evacuations.requested(event, self.leader, effects)
             case Tick():
                 self._on_tick(event, effects)
+            case MessageInProgress(sender=sender):
+                self.discovery.message_in_progress(sender.name, now_s)
             case ProcessResumed():
                 self._on_resumed(now_s)
             case PeerConnected():
@@ -240,6 +238,14 @@
                     sender.name, message, now_s, effects
                 )
 
+    def _on_caller_disconnected(
+        self, request_id: int, now_s: float, effects: list[Effect]
+    ) -> None:
+        self.configuration.caller_disconnected(request_id)
+        self.evacuations.caller_disconnected(request_id)
+        self._cancellations.caller_disconnected(request_id)
+        self.dispatcher.on_caller_disconnected(request_id, now_s, effects)
+
     def _on_crashing_job_found(
         self,
         sender: Peer,
--- a/packages/core/cactushead_core/fleet/tests/test_large_configurations.py
+++ b/packages/core/cactushead_core/fleet/tests/test_large_configurations.py
@@ -76,3 +76,15 @@
     fleet.simulation.run(2 * APPLY_S)
     assert fleet.late == []
     assert {fleet.held(name) for name in fleet.entries} == {fleet.version}
+
+
+# Guards against a configuration that no entry with a narrow link ever gets: a
+# link is cut after 1 s without a whole message, also while a part of one
+# arrives, and the next attempt ends in the same way.
+@pytest.mark.parametrize('size_bytes', [1_000_000, 2_000_000])
+def test_configuration_that_takes_long_on_a_link_arrives(size_bytes):
+    fleet = LargeConfigurations(1)
+    fleet.change(size_bytes=size_bytes)
+    fleet.simulation.run(10 * APPLY_S)
+    assert {fleet.held(name) for name in fleet.entries} == {fleet.version}
+    assert fleet.late == []
--- a/packages/core/cactushead_core/leasing/node.py
+++ b/packages/core/cactushead_core/leasing/node.py
@@ -12,6 +12,7 @@
 from ..events import (
     DrainRequested,
     Event,
+    MessageInProgress,
     MessageReceived,
     PeerConnected,
     PeerLost,
@@ -68,6 +69,8 @@
             self._turn_began_s = event.now_s
         # Before any event can start or renew a run whose owner has given it up.
         self.manager.expire_owners(event.now_s, effects)
+        if isinstance(event, MessageInProgress):
+            self.discovery.message_in_progress(event.sender.name, event.now_s)
         self._handle(event, effects)
         self.discovery.record_sends(effects, event.now_s)
 
--- a/packages/node/cactushead_node/peers/link.py
+++ b/packages/node/cactushead_node/peers/link.py
@@ -15,11 +15,14 @@
 
 MAX_QUEUE_BYTES = 32_000_000
 SEND_TIMEOUT_S = 4.0
+# Takes 0.1 s at 5 Mbit/s, so that parts of a frame arrive as often as pings.
+FRAGMENT_BYTES = 65_536
 CLOSE_TIMEOUT_S = 1.0
 
 _log = logging.getLogger('cactushead.peers')
 
 Receive = Callable[[Message], None]
+ReportProgress = Callable[[], None]
 
 
 class Link:
@@ -98,16 +101,19 @@
         """Closes the link gracefully, so that the peer reads written frames."""
         await close_socket(self._socket)
 
-    async def run(self, receive: Receive) -> None:
+    async def run(
+        self, receive: Receive, report_progress: ReportProgress
+    ) -> None:
         """Receives and sends until the link is closed.
 
         Args:
             receive: Handles each received message.
+            report_progress: Called when a part of a large frame arrived.
         """
         with self._scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._write)
-                await self._read(receive)
+                await self._read(receive, report_progress)
                 nursery.cancel_scope.cancel()
         self.is_open = False
         self._counters.dropped_messages += sum(
@@ -115,12 +121,13 @@
         )
         await close_socket(self._socket)
 
-    async def _read(self, receive: Receive) -> None:
+    async def _read(
+        self, receive: Receive, report_progress: ReportProgress
+    ) -> None:
         """Receives frames until the connection is closed or one is invalid."""
         try:
             while True:
-                frame = await self._socket.recv(decode=False)
-                self._received_s = trio.current_time()
+                frame = await self._read_frame(report_progress)
                 messages = decode_frame(frame)
                 self._counters.count_received(len(messages), len(frame))
                 for message in messages:
@@ -130,6 +137,16 @@
         except FrameError as error:
             self.drop(f'bad frame: {error}')
 
+    async def _read_frame(self, report_progress: ReportProgress) -> bytes:
+        """Receives one frame, and reports the arrival of its parts."""
+        parts: list[bytes] = []
+        async for part in self._socket.recv_streaming(decode=False):
+            if parts:
+                report_progress()
+            self._received_s = trio.current_time()
+            parts.append(part)
+        return b''.join(parts)
+
     async def _write(self) -> None:
         """Sends queued frames until a write fails."""
         while True:
@@ -146,7 +163,7 @@
         """Writes a frame; returns whether that succeeded in time."""
         try:
             with trio.fail_after(SEND_TIMEOUT_S):
-                await self._socket.send(frame)
+                await self._socket.send(_split(frame))
         except ConnectionClosed:
             return False
         except trio.TooSlowError:
@@ -167,3 +184,13 @@
     except (ConnectionClosed, trio.BrokenResourceError) as error:
         _log.debug('peers: a link broke while it was closed: %s', error)
     await trio.aclose_forcefully(socket.stream)
+
+
+def _split(frame: bytes) -> bytes | list[bytes]:
+    """Returns a large frame in the parts in which it is sent."""
+    if len(frame) <= FRAGMENT_BYTES:
+        return frame
+    return [
+        frame[start : start + FRAGMENT_BYTES]
+        for start in range(0, len(frame), FRAGMENT_BYTES)
+    ]
--- a/packages/node/cactushead_node/peers/links.py
+++ b/packages/node/cactushead_node/peers/links.py
@@ -8,7 +8,12 @@
 
 import trio
 from cactushead_core.errors import CactusheadError, FrameError
-from cactushead_core.events import MessageReceived, PeerConnected, PeerLost
+from cactushead_core.events import (
+    MessageInProgress,
+    MessageReceived,
+    PeerConnected,
+    PeerLost,
+)
 from cactushead_core.messages import Message, decode_frame, encode_frame
 from websockets.exceptions import InvalidHandshake, WebSocketException
 from websockets.trio.client import connect
@@ -203,7 +208,12 @@
             return
         self._add(link)
         try:
-            await link.run(partial(self._receive, link))
+            await link.run(
+                partial(self._receive, link),
+                partial(
+                    self._deliver, partial(MessageInProgress, sender=link.peer)
+                ),
+            )
         finally:
             self._remove(link)
 
