--- a/packages/core/cactushead_core/configuration/arrivals.py
+++ b/packages/core/cactushead_core/configuration/arrivals.py
@@ -24,7 +24,12 @@
 
 
 class Arrivals:
-    """Announced versions, and copies that were received in vain."""
+    """Announced versions, and copies that were received in vain.
+
+    Explanation:
+        Only for logs and metrics; `ConfigurationSources` decides what to ask
+        for.
+    """
 
     def __init__(self) -> None:
         """Starts without a configuration."""
