Revert "Don't reject unknown queues once a newer configuration is known"

A caller of a queue that doesn't exist got 503 right after a configuration was stored.

Trace: the leader announces a version by a ping at once. A voter learns up to 0.15 s later, with the next heartbeat of the log, that it is committed, and up to 0.3 s later that the leader confirms it. With the announcement ended the earlier confirmation, so in between each unknown queue got 503, also one that never existed. Without it the entry stays confirmed for 1 s, as before.

A mend needs the commit at the voters as early as the announcement, and a confirmation that holds from the activation on.

--- a/packages/core/cactushead_core/configuration/manager.py
+++ b/packages/core/cactushead_core/configuration/manager.py
@@ -297,8 +297,8 @@
 
     def confirm_newest(self, newest: int, now_s: float) -> None:
         """Records a leader's statement of the newest version."""
-        is_newest = newest <= self.version
-        self._confirmed_s = now_s if is_newest else float('-inf')
+        if newest <= self.version:
+            self._confirmed_s = now_s
 
     def _store(
         self,
