--- a/packages/core/cactushead_core/events.py
+++ b/packages/core/cactushead_core/events.py
@@ -60,7 +60,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MessageInProgress(Event):
-    """A part of a large message arrived, and more parts follow.
+    """A part of a large message arrived; the message follows when complete.
 
     Attributes:
         sender: The peer that sends it.
